Change: the HTTP tasks parse with Boost.Beast on libev sockets

Cause: callers pipeline, leave half-way and hold thousands of connections; servers answer early, without a length, twice, or under another id. libmicrohttpd stops accepting at its limit and hides the end of a suspended connection; libcurl hides bytes between answers and re-sends by itself. Ruled out: working round both (MSG_PEEK beside libmicrohttpd, the abort in CURLOPT_PREREQFUNCTION): neither shows bytes after an answer nor lets the answer that belongs to another request be skipped. Change: one connection class each for servers and clients, with Beast's incremental parsers; replies in the order of pipelined requests; idle connections make room at the limit, surplus ones can be refused by a reply; an answer under another id is skipped; nothing is sent twice after its first byte.

--- a/src/http/http_client_base.h
+++ b/src/http/http_client_base.h
@@ -1,4 +1,4 @@
-/** @file http_client_base.h The HTTP client task, on libcurl's multi interface. */
+/** @file http_client_base.h The HTTP client task: libev sockets, Boost.Beast's parsers. */
 #ifndef WAXWING_HTTP_HTTP_CLIENT_BASE_H
 #define WAXWING_HTTP_HTTP_CLIENT_BASE_H
 
@@ -14,11 +14,11 @@
 
 /** Settings of one HTTP client. */
 struct http_client_settings {
-    long m_connection_limit = 64; ///< Open connections at once, idle ones included; further sends wait.
+    std::size_t m_connection_limit = 64; ///< Open connections at once, idle ones included; further sends wait.
     std::size_t m_body_limit = 16 * 1024 * 1024;          ///< Longest answer body, in bytes.
     duration m_connect_timeout = std::chrono::seconds(1); ///< Longest wait for a connection.
     duration m_idle_limit =
-        std::chrono::seconds(20); ///< An idle connection older than this is not used again.
+        std::chrono::seconds(20); ///< A connection idle for longer is closed; the server's Keep-Alive may be less.
 };
 
 /** One request to send. It goes out at most once: a connection that breaks is never tried again in secret. */
@@ -30,6 +30,8 @@
     header_list m_headers;  ///< Fields beside Content-Length; Host where it differs from the address.
     std::string m_body;     ///< The whole body.
     duration m_timeout{};   ///< Longest time until the whole answer.
+    std::string m_echo = {};   ///< Field that the answer repeats; an answer with another value is not this one's.
+    bool m_repeatable = true;  ///< Otherwise only a connection used a moment ago, or a new one, is good enough.
 };
 
 /** A whole answer came. */
--- a/src/http/http_server_base.h
+++ b/src/http/http_server_base.h
@@ -1,4 +1,4 @@
-/** @file http_server_base.h The HTTP server task, on libmicrohttpd. */
+/** @file http_server_base.h The HTTP server task: libev sockets, Boost.Beast's parsers. */
 #ifndef WAXWING_HTTP_HTTP_SERVER_BASE_H
 #define WAXWING_HTTP_HTTP_SERVER_BASE_H
 
@@ -16,8 +16,10 @@
 /** Settings of one HTTP server. */
 struct http_server_settings {
     endpoint m_address;                                 ///< Where to listen; port 0 lets the system choose.
+    std::size_t m_header_limit = 64 * 1024;             ///< Longest request line and header, in bytes.
     std::size_t m_body_limit = 1024 * 1024;             ///< Longest request body, in bytes.
-    unsigned m_connection_limit = 1000;                 ///< Open connections at once; more are refused.
+    unsigned m_connection_limit = 1000;                 ///< Open connections at once; see http_server.
+    duration m_request_timeout = std::chrono::seconds(10); ///< Longest time to receive one request.
     duration m_idle_timeout = std::chrono::seconds(30); ///< Connections without traffic are closed after it.
 };
 
@@ -28,7 +30,9 @@
     std::string m_path;      ///< Path with query, as it was sent.
     header_list m_headers;   ///< All fields, Host included.
     std::string m_body;      ///< The whole body; empty where it was over the limit.
-    bool m_oversize = false; ///< Whether the body was over the limit and was dropped.
+    bool m_oversize = false; ///< Whether the body was over the limit; the connection closes after the reply.
+    std::string m_peer;      ///< IP number of the client.
+    bool m_surplus = false;  ///< Whether the connection is above the limit; it closes after the reply.
 };
 
 /** The client of an unanswered exchange went away; a reply to it is ignored. */
@@ -48,7 +52,9 @@
 };
 
 /**
- * An HTTP/1.1 server that owns its socket.
+ * An HTTP/1.1 server that owns its socket. Pipelined requests are handed over as they come, and their replies
+ * go out in the order of the requests. At the limit of connections the one that has been idle for longest makes
+ * room; where none is idle, a new one is marked as surplus, so that its request can be refused by a reply.
  * Thread safety: for the loop's thread only.
  */
 class http_server {
@@ -72,9 +78,18 @@
     /** Sends @p reply; ignored where the exchange is gone. */
     virtual void reply(http_reply reply) = 0;
 
+    /** Takes new bounds into force; the address stays. */
+    virtual void configure(const http_server_settings& settings) = 0;
+
+    /** Closes each connection after the reply to the last request that has come on it. */
+    virtual void drain() = 0;
+
     /** Takes no new connections; exchanges in progress go on. */
     virtual void stop_listening() = 0;
 
+    /** Gives the open connections. */
+    virtual std::size_t connections() const = 0;
+
     /** Gives the exchanges that wait for a reply, or whose reply is still being sent. */
     virtual std::size_t in_progress() const = 0;
 
