--- a/src/base/rule_type.h
+++ b/src/base/rule_type.h
@@ -39,18 +39,13 @@
     draining,           ///< The target is leaving.
     quarantined,        ///< The request has crashed targets.
     suspect_waiting,    ///< The request is suspected of crashing targets and can't run alone now.
-    key_reused,         ///< The idempotency key came with another request.
-    key_in_progress,    ///< The same key is in progress elsewhere.
-    claim_unavailable,  ///< The platform's table can't record the claim.
-    ticket_required,    ///< The request kind needs a ticket; one is offered.
-    ticket_invalid,     ///< The ticket is unknown or was spent.
-    outcome_unknown,    ///< An earlier attempt under the same key may have run.
     link_lost,          ///< The link to the target's node was lost.
     target_unreachable, ///< The target accepted no connection; nothing was sent.
     target_lost,        ///< The connection to the target was lost after the request was sent.
     target_crashed,     ///< The target died while it ran the request.
     target_refused,     ///< The target itself shed the request before running it.
     cancelled,          ///< The caller went away.
+    too_many_connections, ///< The callers' connections are at their limit.
     not_ready,          ///< The node has no configuration in force yet.
     unauthorised,       ///< The operator's token is missing or wrong.
     not_found,          ///< The operators' path does not exist.
--- a/src/call/call_action_type.h
+++ b/src/call/call_action_type.h
@@ -3,7 +3,6 @@
 #define WAXWING_CALL_CALL_ACTION_TYPE_H
 
 #include "base/base.h"
-#include "once/once.h"
 
 #include <variant>
 
@@ -47,7 +46,7 @@
 /** Send the call to the target. */
 struct runner_run {
     attempt_id m_attempt;   ///< Names it in the end.
-    call m_call;            ///< What to send; the header Waxwing-Context is among its headers.
+    call m_call;            ///< What to send; its headers are complete but for framing.
     duration m_time_left{}; ///< Longest time until the answer.
 };
 
@@ -77,8 +76,8 @@
 };
 
 /** What a runner asks for. */
-using runner_action = std::variant<runner_run, runner_abort, runner_answer, runner_probe, runner_spread,
-                                   runner_crash, claim_commit, claim_read, claim_send>;
+using runner_action =
+    std::variant<runner_run, runner_abort, runner_answer, runner_probe, runner_spread, runner_crash>;
 
 } // namespace waxwing
 
--- a/src/call/context_func.cpp
+++ b/src/call/context_func.cpp
@@ -30,9 +30,14 @@
                                                       "Expect"};
 
 /** Fields that waxwinghub reads and writes itself. */
-constexpr std::array<std::string_view, 8> own_fields{context_field, deadline_field,    kind_field,
-                                                     caller_field,  ticket_field,      outcome_field,
-                                                     rule_field,    "Proxy-Connection"};
+constexpr std::array<std::string_view, 7> own_fields{context_field, deadline_field, kind_field,        caller_field,
+                                                     outcome_field, rule_field,     "Proxy-Connection"};
+
+/** Turns an upper-case ASCII letter into the lower-case one. */
+char to_lower(char letter)
+{
+    return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
+}
 
 /** Appends @p value to @p text with all digits. */
 void append_id(std::string& text, std::uint64_t value)
@@ -112,13 +117,14 @@
     return reference;
 }
 
-result<request_fields> read_request_fields(const header_list& headers)
+result<request_fields> read_request_fields(const header_list& headers, std::string_view deadline_name)
 {
     request_fields fields;
-    if (!read_name(headers, "Host", fields.m_service.m_value) || fields.m_service.empty()) {
+    if (!read_name(headers, "Host", fields.m_host) || fields.m_host.empty()) {
         return bad_field("Host");
     }
-    fields.m_service.m_value = fields.m_service.m_value.substr(0, fields.m_service.m_value.find(':'));
+    fields.m_host = fields.m_host.substr(0, fields.m_host.find(':'));
+    std::transform(fields.m_host.begin(), fields.m_host.end(), fields.m_host.begin(), to_lower);
     if (!read_name(headers, kind_field, fields.m_kind.m_value)) {
         return bad_field(kind_field);
     }
@@ -128,13 +134,10 @@
     if (!read_name(headers, key_field, fields.m_key)) {
         return bad_field(key_field);
     }
-    if (const std::string* const ticket = find_header(headers, ticket_field)) {
-        fields.m_ticket = *ticket;
-    }
-    if (const std::string* const text = find_header(headers, deadline_field)) {
+    if (const std::string* const text = find_header(headers, deadline_name)) {
         std::int64_t milliseconds = 0;
         if (!read_number(*text, milliseconds) || milliseconds < 0 || milliseconds > most_deadline_ms) {
-            return bad_field(deadline_field);
+            return bad_field(deadline_name);
         }
         fields.m_deadline = std::chrono::milliseconds(milliseconds);
     }
--- a/src/call/context_func.h
+++ b/src/call/context_func.h
@@ -14,7 +14,6 @@
 inline constexpr std::string_view deadline_field = "Waxwing-Deadline-Ms"; ///< Time left, in milliseconds.
 inline constexpr std::string_view kind_field = "Waxwing-Kind";            ///< The request kind.
 inline constexpr std::string_view caller_field = "Waxwing-Caller";        ///< The caller's name.
-inline constexpr std::string_view ticket_field = "Waxwing-Ticket";        ///< A ticket for one run.
 inline constexpr std::string_view outcome_field = "Waxwing-Outcome";      ///< not-run, ran or unknown.
 inline constexpr std::string_view rule_field = "Waxwing-Rule";            ///< The rule that fired.
 inline constexpr std::string_view key_field = "Idempotency-Key";          ///< The caller's key.
@@ -35,17 +34,20 @@
 
 /** What an HTTP request says in the headers of waxwinghub. */
 struct request_fields {
-    service_name m_service;                   ///< From Host, without the port.
+    std::string m_host;                       ///< From Host, without the port, in lower case.
     kind_name m_kind;                         ///< Empty where none is named.
     caller_name m_caller;                     ///< Empty where none is named.
     std::optional<duration> m_deadline;       ///< Time left.
     std::optional<parent_reference> m_parent; ///< The call that makes this sub-call.
     std::string m_key;                        ///< Idempotency key.
-    std::string m_ticket;                     ///< Ticket.
 };
 
-/** Reads the headers of waxwinghub; the error's text names the first bad one. Total over hostile text. */
-result<request_fields> read_request_fields(const header_list& headers);
+/**
+ * Reads the headers of waxwinghub; the error's text names the first bad one. Total over hostile text.
+ * @param deadline_name the field with the time left.
+ */
+result<request_fields> read_request_fields(const header_list& headers,
+                                           std::string_view deadline_name = deadline_field);
 
 /** Gives the headers that pass on to the target: end-to-end ones, without those of waxwinghub but
  * Idempotency-Key. */
--- a/src/call/entry.cpp
+++ b/src/call/entry.cpp
@@ -10,6 +10,12 @@
 /** Parent's deadlines end a little later than their sub-calls', so that answers still get through. */
 constexpr duration sub_call_margin = std::chrono::milliseconds(1);
 
+/** A target's sub-call repeats its deadline to within this: both sides round down to milliseconds. */
+constexpr duration deadline_rounding = std::chrono::milliseconds(4);
+
+/** Importance of a sub-call whose parent is not known. */
+constexpr std::uint8_t orphan_importance = 255;
+
 /** An answer that says "go on". */
 answer proceed()
 {
@@ -35,10 +41,8 @@
 
 } // namespace
 
-entry::entry(node_id self, data_centre_name own_data_centre, running_calls& running, control_mode mode,
-             std::uint64_t seed)
-    : m_self(std::move(self)), m_mode(mode), m_running(running), m_random(seed),
-      m_own_data_centre(std::move(own_data_centre)), m_shares(share_settings{}, m_random()),
+entry::entry(const entry_settings& settings, running_calls& running, std::uint64_t seed)
+    : m_settings(settings), m_running(running), m_random(seed), m_shares(share_settings{}, m_random()),
       m_attempt_base(m_random())
 {
 }
@@ -46,6 +50,8 @@
 void entry::configure(std::shared_ptr<const config_set> set)
 {
     const std::shared_ptr<const config_set> before = std::exchange(m_config, std::move(set));
+    m_kinds = std::make_unique<const kind_index>(m_config);
+    std::erase_if(m_splits, [this](const auto& held) { return !m_config->m_kinds.contains(held.first); });
     caller_shares shares(m_config->m_unknown_callers, m_random());
     for (const auto& [name, object] : m_config->m_callers) {
         shares.put(name, object.m_share);
@@ -84,7 +90,7 @@
     open_call opened;
     opened.m_arrived = now;
     opened.m_waiters = {request.m_exchange};
-    const result<request_fields> fields = read_request_fields(request.m_headers);
+    const result<request_fields> fields = read_request_fields(request.m_headers, m_settings.m_dialect.m_deadline);
     const answer checked =
         fields.has_error() ? refusal(rule::bad_header) : prepare(now, request, fields.value(), opened);
     if (is_refused(checked)) {
@@ -104,6 +110,15 @@
     opened.m_call.m_method = std::move(request.m_method);
     opened.m_call.m_path = std::move(request.m_path);
     opened.m_call.m_headers = end_to_end_headers(request.m_headers);
+    const request_dialect& dialect = m_settings.m_dialect;
+    std::erase_if(opened.m_call.m_headers, [&](const header& field) {
+        return equal_ignoring_case(field.m_name, dialect.m_deadline) ||
+               equal_ignoring_case(field.m_name, dialect.m_origin) ||
+               equal_ignoring_case(field.m_name, dialect.m_instance);
+    });
+    if (!dialect.m_origin.empty() && !m_settings.m_service.empty()) {
+        opened.m_call.m_headers.push_back({std::string(dialect.m_origin), m_settings.m_service.m_value});
+    }
     opened.m_call.m_body = std::move(request.m_body);
     open(now, std::move(opened), actions);
 }
@@ -117,30 +132,39 @@
     }
     opened.m_config = m_config;
     const config_set& set = *m_config;
-    if (!set.m_services.contains(fields.m_service)) {
-        return refusal(rule::unknown_service);
-    }
-    opened.m_kind = find_kind(set, fields.m_service, fields.m_kind, request.m_method, request.m_path);
+    opened.m_kind = m_kinds->find(fields.m_host, fields.m_kind, request.m_method, request.m_path);
     if (opened.m_kind == nullptr) {
-        return refusal(rule::missing_kind);
+        const bool by_service = set.m_services.contains(service_name{fields.m_host});
+        return refusal(by_service ? rule::missing_kind : rule::unknown_service);
     }
     if (request.m_oversize) {
         return refusal(rule::body_too_large);
     }
+    if (request.m_surplus) {
+        return refusal(rule::too_many_connections);
+    }
     const kind_object& kind = *opened.m_kind;
     const auto policy = set.m_retries.find(kind.m_retry);
     opened.m_retry = policy == set.m_retries.end() ? retry_settings{} : policy->second;
     call& made = opened.m_call;
-    made.m_service = fields.m_service;
+    made.m_service = choose_service(kind);
     made.m_kind = kind.m_name;
     made.m_caller = fields.m_caller;
     made.m_idempotent = kind.m_idempotent;
-    made.m_idempotency_key = kind.m_once == once_mode::ticket ? fields.m_ticket : fields.m_key;
+    made.m_idempotency_key = fields.m_key;
     made.m_fingerprint =
-        fingerprint_of(fields.m_service.m_value, request.m_method, request.m_path, request.m_body);
+        fingerprint_of(fields.m_host, request.m_method, request.m_path, request.m_body);
     opened.m_deadline = now + std::min(fields.m_deadline.value_or(kind.m_deadline), kind.m_deadline);
-    answer checked = fields.m_parent.has_value() ? prepare_sub_call(now, *fields.m_parent, opened)
-                                                 : prepare_root(now, opened);
+    answer checked = proceed();
+    if (fields.m_parent.has_value()) {
+        checked = prepare_sub_call(now, *fields.m_parent, opened);
+    }
+    else if (request.m_from_target) {
+        checked = adopt_sub_call(now, opened);
+    }
+    else {
+        checked = prepare_root(now, opened);
+    }
     if (is_refused(checked)) {
         return checked;
     }
@@ -165,7 +189,7 @@
     if (m_draining) {
         return refusal(rule::draining);
     }
-    if (m_mode != control_mode::full) {
+    if (m_settings.m_mode != control_mode::full) {
         return proceed();
     }
     const kind_name& kind = opened.m_kind->m_name;
@@ -191,20 +215,71 @@
     call_context& context = opened.m_call.m_context;
     context.m_root = reference.m_root;
     context.m_depth = reference.m_depth < 255 ? static_cast<std::uint8_t>(reference.m_depth + 1) : 255;
+    opened.m_is_sub_call = true;
     running_call* const parent = m_running.find(reference.m_attempt);
     if (parent == nullptr || parent->m_context.m_root != reference.m_root) {
         return prepare_root(now, opened);
     }
-    context.m_priority = parent->m_context.m_priority;
-    opened.m_call.m_caller = parent->m_caller;
     opened.m_deadline = std::min(opened.m_deadline, parent->m_deadline - sub_call_margin);
-    opened.m_granted = parent->m_tokens.lend();
+    return begin_sub_call(now, opened, reference.m_attempt, *parent);
+}
+
+/** Joins the call of @p opened to the running call @p parent that makes it. */
+answer entry::begin_sub_call(instant now, open_call& opened, attempt_id parent_id, running_call& parent)
+{
+    call_context& context = opened.m_call.m_context;
+    context.m_root = parent.m_context.m_root;
+    context.m_priority = parent.m_context.m_priority;
+    context.m_depth = static_cast<std::uint8_t>(std::min(parent.m_context.m_depth + 1, 255));
+    opened.m_call.m_caller = parent.m_caller;
+    opened.m_granted = parent.m_tokens.lend();
     opened.m_tokens = retry_tokens(opened.m_granted);
-    opened.m_parent = reference.m_attempt;
-    running_calls::begin_sub_call(*parent, now);
+    opened.m_parent = parent_id;
+    opened.m_is_sub_call = true;
+    running_calls::begin_sub_call(parent, now);
+    return proceed();
+}
+
+/**
+ * Begins a sub-call that names no parent. A target hands its own deadline on, so the running call whose deadline
+ * is the nearest is taken for the parent. Where none is near, the call goes before whole requests, since work
+ * that is already running depends on it.
+ */
+answer entry::adopt_sub_call(instant now, open_call& opened)
+{
+    if (const std::optional<attempt_id> parent = m_running.nearest(opened.m_deadline, deadline_rounding)) {
+        return begin_sub_call(now, opened, *parent, *m_running.find(*parent));
+    }
+    call_context& context = opened.m_call.m_context;
+    context.m_root = root_id{m_random()};
+    context.m_priority = priority_of(orphan_importance, 0);
+    context.m_depth = 1;
+    opened.m_is_sub_call = true;
     return proceed();
 }
 
+/** Chooses the service of the next request of @p kind; the parts of a split get their exact shares in turn. */
+const service_name& entry::choose_service(const kind_object& kind)
+{
+    if (kind.m_split.empty()) {
+        return kind.m_service;
+    }
+    split_state& split = m_splits[kind.m_name];
+    if (split.m_parts != kind.m_split) {
+        split.m_parts = kind.m_split;
+        split.m_credits.assign(kind.m_split.size(), 0);
+    }
+    std::int64_t sum = 0;
+    std::size_t best = 0;
+    for (std::size_t index = 0; index < kind.m_split.size(); ++index) {
+        sum += kind.m_split[index].m_weight;
+        split.m_credits[index] += kind.m_split[index].m_weight;
+        best = split.m_credits[index] > split.m_credits[best] ? index : best;
+    }
+    split.m_credits[best] -= sum;
+    return kind.m_split[best].m_service;
+}
+
 /** Gives the text under which re-sends of the call of @p opened are found; empty where there is none. */
 std::string entry::join_key(const open_call& opened)
 {
@@ -290,7 +365,7 @@
     for (const exchange_id waiter : current.m_waiters) {
         m_exchanges.erase(waiter);
         actions.emplace_back(entry_reply{waiter, current.m_kind->m_name, given, now - current.m_arrived,
-                                         current.m_call.m_context.m_depth == 0});
+                                         !current.m_is_sub_call});
     }
 }
 
@@ -334,7 +409,7 @@
         return known->second;
     }
     const router_settings settings = m_config == nullptr ? router_settings{} : routing_of(*m_config, service);
-    return m_routers.emplace(service, router(settings, m_own_data_centre)).first->second;
+    return m_routers.emplace(service, router(settings, m_settings.m_data_centre)).first->second;
 }
 
 attempt_id entry::new_attempt()
--- a/src/call/entry_attempt.cpp
+++ b/src/call/entry_attempt.cpp
@@ -64,14 +64,9 @@
     actions.emplace_back(entry_send{*node, current.m_attempt, std::move(sent)});
 }
 
-/** Chooses where to send the next attempt: the ticket's issuer, or a target by load. */
+/** Chooses where to send the next attempt. */
 std::optional<node_id> entry::choose_node(instant now, const open_call& current)
 {
-    if (current.m_kind->m_once == once_mode::ticket && !current.m_call.m_idempotency_key.empty()) {
-        const std::optional<node_id> issuer = issuer_of_ticket(current.m_call.m_idempotency_key);
-        const bool tried = !current.m_tried.empty();
-        return tried ? std::nullopt : issuer;
-    }
     return router_of(current.m_call.m_service).pick(now, current.m_call.m_service, current.m_tried, m_random);
 }
 
@@ -131,6 +126,8 @@
     current.m_lent = 0;
     current.m_tried.push_back(current.m_node);
     current.m_may_have_run |= given.m_state != run_state::not_run;
+    const bool reached = given.m_state != run_state::not_run || given.m_rule == rule::target_refused;
+    current.m_reached += reached ? 1 : 0;
     if (given.m_rule == rule::target_crashed) {
         ++current.m_call.m_crashes;
     }
@@ -152,10 +149,10 @@
     if (!failed || (may_have_run && !current.m_call.m_idempotent) || current.m_waiters.empty()) {
         return false;
     }
-    if (now >= current.m_deadline || m_mode == control_mode::none) {
+    if (now >= current.m_deadline || m_settings.m_mode == control_mode::none) {
         return false;
     }
-    if (m_mode == control_mode::fixed_slots) {
+    if (m_settings.m_mode == control_mode::fixed_slots) {
         return current.m_attempts <= baseline_retries;
     }
     const bool helps = info_of(given.m_rule).m_retry_elsewhere || may_have_run;
@@ -163,7 +160,12 @@
     if (given.m_final || !helps || ended || current.m_tokens.available() == 0) {
         return false;
     }
-    return budget_of(current.m_call.m_service, current.m_retry).try_spend(now);
+    const bool reached = may_have_run || given.m_rule == rule::target_refused;
+    if (!reached) {
+        return true;
+    }
+    return current.m_reached < current.m_kind->m_attempts &&
+           budget_of(current.m_call.m_service, current.m_retry).try_spend(now);
 }
 
 /** Spends a token and waits for the backoff. */
--- a/src/call/entry_base.h
+++ b/src/call/entry_base.h
@@ -3,7 +3,7 @@
 #define WAXWING_CALL_ENTRY_BASE_H
 
 #include "call/call_action_type.h"
-#include "call/context_func.h"
+#include "call/dialect_type.h"
 #include "call/running_base.h"
 #include "config/config.h"
 #include "policy/policy.h"
@@ -24,6 +24,17 @@
     header_list m_headers;   ///< All fields.
     std::string m_body;      ///< The whole body.
     bool m_oversize = false; ///< Whether the body was over the limit and was dropped.
+    bool m_from_target = false; ///< Whether the target beside this node sent it, so that it is a sub-call.
+    bool m_surplus = false;     ///< Whether its connection is above the limit, so that it is refused.
+};
+
+/** Who an entry is. */
+struct entry_settings {
+    node_id m_self;                           ///< This node.
+    data_centre_name m_data_centre;           ///< Where it is, for routing.
+    service_name m_service;                   ///< What the target beside this node serves; empty is none.
+    control_mode m_mode = control_mode::full; ///< How much of the control is in force.
+    request_dialect m_dialect;                ///< Names of header fields.
 };
 
 /** What an entry has counted since its start. */
@@ -42,14 +53,11 @@
 class entry {
 public:
     /**
-     * @param self this node.
-     * @param own_data_centre for routing.
+     * @param settings who it is.
      * @param running the table shared with the runner of this node; outlives this.
-     * @param mode how much of the control is in force.
      * @param seed of ids and random choices.
      */
-    entry(node_id self, data_centre_name own_data_centre, running_calls& running, control_mode mode,
-          std::uint64_t seed);
+    entry(const entry_settings& settings, running_calls& running, std::uint64_t seed);
 
     /** Takes @p set into force for requests that arrive from now on. */
     void configure(std::shared_ptr<const config_set> set);
@@ -121,11 +129,22 @@
         answer m_last;                              ///< Of the attempt before a retry.
         instant m_next;                             ///< When tick is to look at it.
         std::optional<attempt_id> m_parent;         ///< The running call that makes this sub-call.
+        bool m_is_sub_call = false;                 ///< Whether a target sent it, also where the call is not known.
+        unsigned m_reached = 0;                     ///< Attempts that were handed to a target.
+    };
+
+    /** Where the requests of one split go next. */
+    struct split_state {
+        std::vector<split_part> m_parts;     ///< As configured.
+        std::vector<std::int64_t> m_credits; ///< What each part is owed, in weights.
     };
 
     answer prepare(instant now, const entry_request& request, const request_fields& fields,
                    open_call& opened);
     answer prepare_root(instant now, open_call& opened);
+    answer begin_sub_call(instant now, open_call& opened, attempt_id parent_id, running_call& parent);
+    answer adopt_sub_call(instant now, open_call& opened);
+    const service_name& choose_service(const kind_object& kind);
     answer prepare_sub_call(instant now, const parent_reference& reference, open_call& opened);
     bool join(const entry_request& request, const open_call& opened);
     static std::string join_key(const open_call& opened);
@@ -146,12 +165,12 @@
     retry_budget& budget_of(const service_name& service, const retry_settings& settings);
     attempt_id new_attempt();
 
-    node_id m_self;
-    control_mode m_mode;
+    entry_settings m_settings;
     running_calls& m_running;
     random_source m_random;
     std::shared_ptr<const config_set> m_config;
-    data_centre_name m_own_data_centre;
+    std::unique_ptr<const kind_index> m_kinds; ///< Of m_config.
+    std::unordered_map<kind_name, split_state> m_splits;
     std::unordered_map<service_name, router> m_routers; ///< One a service, with the policy that it names.
     threshold_table m_thresholds;
     caller_shares m_shares;
--- a/src/call/runner.cpp
+++ b/src/call/runner.cpp
@@ -17,10 +17,8 @@
 
 } // namespace
 
-runner::runner(const runner_settings& settings, running_calls& running, std::uint64_t seed)
+runner::runner(const runner_settings& settings, running_calls& running)
     : m_settings(settings), m_running(running), m_admission(admission_settings{}),
-      m_claims(settings.m_claims, settings.m_self, settings.m_life, seed),
-      m_tickets(settings.m_tickets, settings.m_self, settings.m_life, settings.m_shared_key, seed + 1),
       m_quarantine(settings.m_quarantine, salt_of(settings.m_shared_key))
 {
 }
@@ -31,9 +29,10 @@
     configure_admission();
 }
 
-void runner::set_target(const service_name& service, std::uint32_t slots)
+void runner::set_target(const service_name& service, std::uint32_t slots, std::string instance)
 {
     m_settings.m_service = service;
+    m_instance = std::move(instance);
     m_settings.m_slots = std::max(slots, 1U);
     configure_admission();
 }
@@ -72,11 +71,6 @@
     arrived.m_deadline = now + received.m_context.m_time_left;
     arrived.m_call = std::move(received);
     if (m_config != nullptr) {
-        const auto kind = m_config->m_kinds.find(arrived.m_call.m_kind);
-        if (kind != m_config->m_kinds.end()) {
-            arrived.m_once = kind->second.m_once;
-            arrived.m_retention = kind->second.m_retention;
-        }
         const auto service = m_config->m_services.find(arrived.m_call.m_service);
         if (service != m_config->m_services.end()) {
             arrived.m_refusal_status = service->second.m_refusal_status;
@@ -156,7 +150,7 @@
     actions.emplace_back(runner_answer{ended.m_origin, attempt, std::move(given)});
 }
 
-/** Gives the slot that @p attempt was granted to its claim, its ticket, or its run. */
+/** Runs @p attempt, which was granted a slot. */
 void runner::start(instant now, attempt_id attempt, std::vector<runner_action>& actions)
 {
     const auto position = m_calls.find(attempt);
@@ -164,90 +158,8 @@
         m_admission.finish(now, attempt, duration::zero(), run_end::cancelled, m_admission_actions);
         return;
     }
-    open_call& current = position->second;
-    current.m_started = now;
-    const bool has_key = !current.m_call.m_idempotency_key.empty();
-    if (current.m_once == once_mode::claim && has_key) {
-        claim(now, attempt, current, actions);
-        return;
-    }
-    if (current.m_once == once_mode::ticket) {
-        spend_ticket(now, attempt, current, actions);
-        return;
-    }
-    run(now, attempt, current, actions);
-}
-
-void runner::claim(instant now, attempt_id attempt, open_call& current, std::vector<runner_action>& actions)
-{
-    current.m_stage = stage::claiming;
-    const call& wanted = current.m_call;
-    const claim_key key{wanted.m_service, wanted.m_idempotency_key, wanted.m_fingerprint};
-    m_claims.ask(now, attempt, key, current.m_retention, m_claim_actions);
-    apply_claims(now, actions);
-}
-
-/** Offers a ticket to a request without one, and spends the one of a request that has it. */
-void runner::spend_ticket(instant now, attempt_id attempt, open_call& current,
-                          std::vector<runner_action>& actions)
-{
-    const call& wanted = current.m_call;
-    if (wanted.m_idempotency_key.empty()) {
-        const result<std::string> issued = m_tickets.issue(now, wanted.m_fingerprint);
-        answer given = refusal(issued.has_value() ? rule::ticket_required : rule::overloaded);
-        if (issued.has_value()) {
-            given.m_headers.push_back({std::string(ticket_field), issued.value()});
-        }
-        end_run(now, attempt, std::move(given), run_end::cancelled, actions);
-        return;
-    }
-    ticket_decision decided = m_tickets.spend(now, wanted.m_idempotency_key, wanted.m_fingerprint);
-    if (std::holds_alternative<ticket_granted>(decided)) {
-        run(now, attempt, current, actions);
-        return;
-    }
-    if (std::holds_alternative<ticket_joined>(decided)) {
-        m_joined[wanted.m_idempotency_key].push_back(attempt);
-        current.m_stage = stage::claiming;
-        return;
-    }
-    const bool elsewhere = std::holds_alternative<ticket_elsewhere>(decided);
-    answer given = elsewhere ? refusal(rule::outcome_unknown, run_state::unknown)
-                             : std::move(std::get<ticket_answered>(decided).m_answer);
-    end_run(now, attempt, std::move(given), run_end::cancelled, actions);
-}
-
-/** Carries out what the claims have decided. */
-void runner::apply_claims(instant now, std::vector<runner_action>& actions)
-{
-    while (!m_claim_actions.empty()) {
-        std::vector<claim_action> decided = std::exchange(m_claim_actions, {});
-        for (claim_action& action : decided) {
-            if (auto* const commit = std::get_if<claim_commit>(&action)) {
-                actions.emplace_back(std::move(*commit));
-                continue;
-            }
-            if (auto* const read = std::get_if<claim_read>(&action)) {
-                actions.emplace_back(std::move(*read));
-                continue;
-            }
-            if (auto* const sent = std::get_if<claim_send>(&action)) {
-                actions.emplace_back(std::move(*sent));
-                continue;
-            }
-            if (auto* const answered = std::get_if<claim_answered>(&action)) {
-                end_run(now, answered->m_attempt, std::move(answered->m_answer), run_end::cancelled, actions);
-                continue;
-            }
-            const attempt_id granted = std::get<claim_granted>(action).m_attempt;
-            const auto position = m_calls.find(granted);
-            if (position != m_calls.end()) {
-                run(now, granted, position->second, actions);
-                continue;
-            }
-            m_claims.record(now, granted, refusal(rule::cancelled), m_claim_actions);
-        }
-    }
+    position->second.m_started = now;
+    run(now, attempt, position->second, actions);
 }
 
 /** Sends @p current to the target, unless its time is over. */
@@ -257,7 +169,6 @@
     if (late || current.m_unwanted || m_closed != rule::none) {
         const rule why = current.m_unwanted ? rule::cancelled : rule::deadline_expired;
         answer given = refusal(late || current.m_unwanted ? why : m_closed);
-        record(now, attempt, current, given, actions);
         end_run(now, attempt, std::move(given), run_end::cancelled, actions);
         return;
     }
@@ -271,14 +182,26 @@
     m_running.add(attempt, started);
     call sent = current.m_call;
     current.m_call.m_body.clear();
-    const call_context& context = sent.m_context;
-    sent.m_headers.push_back(
-        {std::string(context_field), write_context({context.m_root, attempt, context.m_depth})});
     const duration left = current.m_deadline - now;
-    sent.m_headers.push_back({std::string(deadline_field), std::to_string(to_milliseconds(left))});
+    add_fields(current, attempt, left, sent);
     actions.emplace_back(runner_run{attempt, std::move(sent), left});
 }
 
+/** Adds to @p sent the fields by which the target learns what concerns this run. */
+void runner::add_fields(const open_call& current, attempt_id attempt, duration left, call& sent) const
+{
+    const request_dialect& dialect = m_settings.m_dialect;
+    const call_context& context = current.m_call.m_context;
+    if (dialect.m_own_fields) {
+        sent.m_headers.push_back(
+            {std::string(context_field), write_context({context.m_root, attempt, context.m_depth})});
+    }
+    sent.m_headers.push_back({std::string(dialect.m_deadline), std::to_string(to_milliseconds(left))});
+    if (!dialect.m_instance.empty() && !m_instance.empty()) {
+        sent.m_headers.push_back({std::string(dialect.m_instance), m_instance});
+    }
+}
+
 void runner::tick(instant now, std::vector<runner_action>& actions)
 {
     if (now >= m_tell_crash_at) {
@@ -287,14 +210,11 @@
     }
     m_admission.tick(now, m_admission_actions);
     apply(now, actions);
-    m_claims.tick(now, m_claim_actions);
-    apply_claims(now, actions);
-    apply(now, actions);
 }
 
 instant runner::next_tick() const
 {
-    return std::min({m_admission.next_tick(), m_claims.next_tick(), m_tell_crash_at});
+    return std::min(m_admission.next_tick(), m_tell_crash_at);
 }
 
 void runner::close(rule why, std::vector<runner_action>& actions)
--- a/src/call/runner_base.h
+++ b/src/call/runner_base.h
@@ -3,10 +3,9 @@
 #define WAXWING_CALL_RUNNER_BASE_H
 
 #include "call/call_action_type.h"
-#include "call/context_func.h"
+#include "call/dialect_type.h"
 #include "call/running_base.h"
 #include "config/config.h"
-#include "once/once.h"
 #include "policy/policy.h"
 
 #include <deque>
@@ -31,10 +30,9 @@
     incarnation m_life;                       ///< This life of its process.
     service_name m_service;                   ///< What the target serves.
     std::uint32_t m_slots = 1;                ///< The target's slots.
-    std::string m_shared_key;                 ///< Authenticates tickets.
+    std::string m_shared_key;                 ///< Names suspects alike on all nodes of the fleet.
     control_mode m_mode = control_mode::full; ///< How much of the control is in force.
-    claim_broker_settings m_claims;           ///< Bounds of the claims.
-    ticket_settings m_tickets;                ///< Bounds of the tickets.
+    request_dialect m_dialect;                ///< Names of header fields.
     quarantine_settings m_quarantine;         ///< Bounds of the table of suspects.
 };
 
@@ -54,13 +52,13 @@
 class runner {
 public:
     /** @param running the table shared with the entry of this node; outlives this. */
-    runner(const runner_settings& settings, running_calls& running, std::uint64_t seed);
+    runner(const runner_settings& settings, running_calls& running);
 
     /** Takes @p set into force for calls that arrive from now on. */
     void configure(std::shared_ptr<const config_set> set);
 
-    /** Takes note of what the target serves, and of its size. */
-    void set_target(const service_name& service, std::uint32_t slots);
+    /** Takes note of what the target serves, of its size, and of the id of its present life; empty is none. */
+    void set_target(const service_name& service, std::uint32_t slots, std::string instance = {});
 
     /** Takes in a call that the entry of @p origin sent; ends in one runner_answer. A repeated message is
      * ignored. */
@@ -83,31 +81,6 @@
     /** Takes in whether the target accepts connections, after runner_probe. */
     void on_probe(instant now, bool accepts, std::vector<runner_action>& actions);
 
-    /** Takes in the wall-clock time, for hints in the rows of claims. */
-    void on_wall_time(instant now, wall_time wall) { m_claims.on_wall_time(now, wall); }
-
-    /** Takes in the end of a transaction of claims. */
-    void on_commit(instant now, const std::string& token, claim_commit_end end,
-                   const std::vector<std::string>& conflicts, std::vector<runner_action>& actions);
-
-    /** Takes in a row of the claims. */
-    void on_row(instant now, const std::string& key, const result<std::optional<claim_row>>& row,
-                std::vector<runner_action>& actions);
-
-    /** Takes note that a link to @p node is up. */
-    void peer_up(instant now, const node_id& node, std::vector<runner_action>& actions);
-
-    /** Takes the nodes that may batch claims from now on. */
-    void set_alive(std::vector<node_id> alive) { m_claims.set_alive(std::move(alive)); }
-
-    /** Takes in a claim message of @p peer. @return whether it could be read. */
-    bool on_claim_message(instant now, const node_id& peer, std::string_view payload,
-                          std::vector<runner_action>& actions);
-
-    /** Takes note that the claim message @p payload to @p peer never left this node. */
-    void claim_undelivered(instant now, const node_id& peer, std::string_view payload,
-                           std::vector<runner_action>& actions);
-
     /** Merges what a peer says of requests that crash targets. */
     void on_quarantine(instant now, const std::vector<quarantine_record>& records);
 
@@ -148,10 +121,9 @@
 private:
     /** How far a call has come. */
     enum class stage {
-        queued,   ///< Waits for a slot.
-        claiming, ///< Has a slot, waits for its claim.
-        running,  ///< Was sent to the target.
-        held      ///< Its connection broke; the probe will tell whether the target died.
+        queued,  ///< Waits for a slot.
+        running, ///< Was sent to the target.
+        held     ///< Its connection broke; the probe will tell whether the target died.
     };
 
     /** One call that waits or runs. */
@@ -162,8 +134,6 @@
         instant m_arrived;                  ///< When.
         instant m_started;                  ///< When it got its slot.
         instant m_deadline;                 ///< When it must have ended.
-        once_mode m_once = once_mode::none; ///< How a second run is kept away.
-        duration m_retention{};             ///< How long its outcome is kept.
         bool m_alone = false;               ///< Whether it runs alone.
         bool m_unwanted = false;            ///< Whether nobody waits any more.
         std::uint16_t m_refusal_status = 0; ///< By which the target says "not run".
@@ -174,17 +144,13 @@
     void refuse(instant now, attempt_id attempt, answer given, std::vector<runner_action>& actions);
     void apply(instant now, std::vector<runner_action>& actions);
     void start(instant now, attempt_id attempt, std::vector<runner_action>& actions);
-    void claim(instant now, attempt_id attempt, open_call& current, std::vector<runner_action>& actions);
-    void spend_ticket(instant now, attempt_id attempt, open_call& current,
-                      std::vector<runner_action>& actions);
     void run(instant now, attempt_id attempt, open_call& current, std::vector<runner_action>& actions);
-    void apply_claims(instant now, std::vector<runner_action>& actions);
+    void add_fields(const open_call& current, attempt_id attempt, duration left, call& sent) const;
+    void probe(std::vector<runner_action>& actions);
     void end_run(instant now, attempt_id attempt, answer given, run_end end,
                  std::vector<runner_action>& actions);
     void send_answer(instant now, attempt_id attempt, const open_call& ended, answer given,
                      std::vector<runner_action>& actions);
-    void record(instant now, attempt_id attempt, const open_call& ended, const answer& given,
-                std::vector<runner_action>& actions);
     void end_held(instant now, rule why, std::vector<runner_action>& actions);
     void target_died(instant now, std::vector<runner_action>& actions);
     void spread(const std::vector<quarantine_record>& changed, std::vector<runner_action>& actions) const;
@@ -192,18 +158,15 @@
 
     runner_settings m_settings;
     running_calls& m_running;
+    std::string m_instance; ///< Id of the target's present life; empty where it gave none.
     std::shared_ptr<const config_set> m_config;
     admission m_admission;
-    claim_broker m_claims;
-    tickets m_tickets;
     quarantine m_quarantine;
     std::unordered_map<attempt_id, open_call> m_calls;
     std::unordered_set<attempt_id>
         m_recent; ///< Attempts that came lately, so that a repeated message runs nothing.
     std::deque<attempt_id> m_recent_order;                             ///< The same, oldest first.
-    std::unordered_map<std::string, std::vector<attempt_id>> m_joined; ///< Re-sends by ticket.
     std::vector<admission_action> m_admission_actions;                 ///< Reused between calls.
-    std::vector<claim_action> m_claim_actions;                         ///< Reused between calls.
     instant m_tell_crash_at = instant::max(); ///< When the calls of a dead target are answered.
     rule m_closed = rule::none;               ///< Why nothing new runs; none where the target takes work.
     bool m_probing = false;                   ///< Whether a probe is on its way.
--- a/src/call/runner_end.cpp
+++ b/src/call/runner_end.cpp
@@ -42,29 +42,6 @@
     for (const attempt_id attempt : lost) {
         cancel(now, attempt, actions);
     }
-    m_claims.peer_lost(now, node, m_claim_actions);
-    apply_claims(now, actions);
-}
-
-void runner::peer_up(instant now, const node_id& node, std::vector<runner_action>& actions)
-{
-    m_claims.peer_up(now, node, m_claim_actions);
-    apply_claims(now, actions);
-}
-
-bool runner::on_claim_message(instant now, const node_id& peer, std::string_view payload,
-                              std::vector<runner_action>& actions)
-{
-    const bool readable = m_claims.on_message(now, peer, payload, m_claim_actions);
-    apply_claims(now, actions);
-    return readable;
-}
-
-void runner::claim_undelivered(instant now, const node_id& peer, std::string_view payload,
-                               std::vector<runner_action>& actions)
-{
-    m_claims.undelivered(now, peer, payload, m_claim_actions);
-    apply_claims(now, actions);
 }
 
 /** Tells whether the target's answer says that it did not run the call. */
@@ -73,7 +50,15 @@
     if (current.m_refusal_status != 0 && given.m_status == current.m_refusal_status) {
         return true;
     }
-    const std::string* const outcome = find_header(given.m_headers, outcome_field);
+    const request_dialect& dialect = m_settings.m_dialect;
+    if (dialect.m_wrong_instance != 0 && given.m_status == dialect.m_wrong_instance) {
+        return true;
+    }
+    if (!dialect.m_not_run.empty() && find_header(given.m_headers, dialect.m_not_run) != nullptr) {
+        return true;
+    }
+    const std::string* const outcome =
+        dialect.m_own_fields ? find_header(given.m_headers, outcome_field) : nullptr;
     return outcome != nullptr && run_state_of(*outcome) == run_state::not_run;
 }
 
@@ -101,7 +86,6 @@
         m_counters.m_succeeded += end == run_end::succeeded ? 1 : 0;
     }
     spread(m_quarantine.on_clean_finish(now, current.m_call.m_fingerprint), actions);
-    record(now, attempt, current, given, actions);
     end_run(now, attempt, std::move(given), end, actions);
 }
 
@@ -116,24 +100,34 @@
     if (failure == target_failure::lost) {
         const bool known = m_tell_crash_at != instant::max();
         current.m_stage = stage::held;
-        if (!m_probing && !known) {
-            m_probing = true;
-            actions.emplace_back(runner_probe{});
+        if (!known) {
+            probe(actions);
         }
         return;
     }
     answer given = refusal(rule::target_unreachable);
+    if (failure == target_failure::not_sent && !current.m_unwanted && m_closed == rule::none) {
+        probe(actions);
+    }
     if (failure == target_failure::timeout) {
         given = refusal(rule::deadline_expired, run_state::unknown);
     }
     if (failure == target_failure::aborted) {
         given = refusal(rule::cancelled, run_state::unknown);
     }
-    record(now, attempt, current, given, actions);
     const bool unwanted = failure == target_failure::aborted;
     end_run(now, attempt, std::move(given), unwanted ? run_end::cancelled : run_end::failed, actions);
 }
 
+/** Asks whether the target accepts connections, once at a time. */
+void runner::probe(std::vector<runner_action>& actions)
+{
+    if (!m_probing) {
+        m_probing = true;
+        actions.emplace_back(runner_probe{});
+    }
+}
+
 void runner::on_probe(instant now, bool accepts, std::vector<runner_action>& actions)
 {
     m_probing = false;
@@ -156,7 +150,6 @@
     std::sort(held.begin(), held.end());
     for (const attempt_id attempt : held) {
         answer given = refusal(why, run_state::unknown);
-        record(now, attempt, m_calls.at(attempt), given, actions);
         end_run(now, attempt, std::move(given), run_end::failed, actions);
     }
 }
@@ -209,45 +202,6 @@
     apply(now, actions);
 }
 
-/** Records the outcome of @p ended for re-sends, and answers those that joined it. */
-void runner::record(instant now, attempt_id attempt, const open_call& ended, const answer& given,
-                    std::vector<runner_action>& actions)
-{
-    const std::string key = ended.m_call.m_idempotency_key;
-    if (ended.m_once == once_mode::none || key.empty()) {
-        return;
-    }
-    if (ended.m_once == once_mode::claim) {
-        m_claims.record(now, attempt, given, m_claim_actions);
-        apply_claims(now, actions);
-        return;
-    }
-    m_tickets.record(now, key, given);
-    const auto position = m_joined.find(key);
-    if (position == m_joined.end()) {
-        return;
-    }
-    const std::vector<attempt_id> joined = std::move(position->second);
-    m_joined.erase(position);
-    for (const attempt_id waiting : joined) {
-        end_run(now, waiting, given, run_end::cancelled, actions);
-    }
-}
-
-void runner::on_commit(instant now, const std::string& token, claim_commit_end end,
-                       const std::vector<std::string>& conflicts, std::vector<runner_action>& actions)
-{
-    m_claims.on_commit(now, token, end, conflicts, m_claim_actions);
-    apply_claims(now, actions);
-}
-
-void runner::on_row(instant now, const std::string& key, const result<std::optional<claim_row>>& row,
-                    std::vector<runner_action>& actions)
-{
-    m_claims.on_row(now, key, row, m_claim_actions);
-    apply_claims(now, actions);
-}
-
 void runner::on_quarantine(instant now, const std::vector<quarantine_record>& records)
 {
     m_quarantine.merge(now, records);
--- a/src/call/running.cpp
+++ b/src/call/running.cpp
@@ -3,6 +3,37 @@
 
 namespace waxwing {
 
+void running_calls::add(attempt_id attempt, const running_call& started)
+{
+    if (m_calls.emplace(attempt, started).second) {
+        m_deadlines.emplace(started.m_deadline, attempt);
+    }
+}
+
+void running_calls::remove(attempt_id attempt)
+{
+    const auto position = m_calls.find(attempt);
+    if (position != m_calls.end()) {
+        m_deadlines.erase({position->second.m_deadline, attempt});
+        m_calls.erase(position);
+    }
+}
+
+std::optional<attempt_id> running_calls::nearest(instant deadline, duration tolerance) const
+{
+    const auto after = m_deadlines.lower_bound({deadline, attempt_id{}});
+    std::optional<attempt_id> found;
+    duration distance = tolerance;
+    if (after != m_deadlines.end() && after->first - deadline <= distance) {
+        found = after->second;
+        distance = after->first - deadline;
+    }
+    if (after != m_deadlines.begin() && deadline - std::prev(after)->first <= distance) {
+        found = std::prev(after)->second;
+    }
+    return found;
+}
+
 running_call* running_calls::find(attempt_id attempt)
 {
     const auto position = m_calls.find(attempt);
--- a/src/call/running_base.h
+++ b/src/call/running_base.h
@@ -5,6 +5,8 @@
 
 #include "policy/policy.h"
 
+#include <optional>
+#include <set>
 #include <unordered_map>
 
 namespace waxwing {
@@ -29,13 +31,17 @@
 class running_calls {
 public:
     /** Adds @p attempt. @pre It is not in the table. */
-    void add(attempt_id attempt, const running_call& started) { m_calls.emplace(attempt, started); }
+    void add(attempt_id attempt, const running_call& started);
+
+    /** Finds the call whose deadline is the nearest to @p deadline, at most @p tolerance off; none where there is
+     * none. */
+    std::optional<attempt_id> nearest(instant deadline, duration tolerance) const;
 
     /** Finds @p attempt; null where it does not run here. The pointer holds until the next add or remove. */
     running_call* find(attempt_id attempt);
 
     /** Takes @p attempt out. */
-    void remove(attempt_id attempt) { m_calls.erase(attempt); }
+    void remove(attempt_id attempt);
 
     /** Takes note that a sub-call of @p parent begins. */
     static void begin_sub_call(running_call& parent, instant now);
@@ -45,6 +51,7 @@
 
 private:
     std::unordered_map<attempt_id, running_call> m_calls;
+    std::set<std::pair<instant, attempt_id>> m_deadlines; ///< Of all calls.
 };
 
 } // namespace waxwing
--- a/src/chart/table/charts.h
+++ b/src/chart/table/charts.h
@@ -22,8 +22,8 @@
     {"target.scxml", "announced healthy drain resume drained lost node-stopped",
      "tell-peers start-warm-up admit-work refuse-new-work suspect-in-progress"},
     {"request.scxml",
-     "target-chosen claim-needed duplicate retryable answered refused deadline-passed caller-gone",
-     "send-attempt request-claim join-attempt start-backoff cancel-attempt answer-caller answer-refusal "
+     "target-chosen duplicate retryable answered refused deadline-passed caller-gone",
+     "send-attempt join-attempt start-backoff cancel-attempt answer-caller answer-refusal "
      "release"},
     {"publication.scxml",
      "read valid invalid clash stored committed head-moved not-committed unknown unavailable",
--- a/src/config/check_func.cpp
+++ b/src/config/check_func.cpp
@@ -2,6 +2,7 @@
  */
 #include "config/check_func.h"
 
+#include "config/config_func.h"
 #include "config/section_func.h"
 
 #include <algorithm>
@@ -30,7 +31,7 @@
             check_service(heading_of(object_sort::service, name.m_value), service);
         }
         for (const auto& [name, kind] : m_set.m_kinds) {
-            check_kind(heading_of(object_sort::kind, name.m_value), kind);
+            check_split(heading_of(object_sort::kind, name.m_value), kind);
         }
         check_matches();
         check_chains();
@@ -144,34 +145,33 @@
         }
     }
 
-    void check_kind(const std::string& heading, const kind_object& kind)
+    /** Adds an error where the split of @p kind names a service that does not exist, or gives no part a weight. */
+    void check_split(const std::string& heading, const kind_object& kind)
     {
-        if (!is_read(heading, {"idempotent", "once"})) {
-            return;
-        }
-        const bool recorded = kind.m_once != once_mode::none;
-        if (kind.m_idempotent && recorded) {
-            add(heading, "once", "once is for kinds with idempotent = no");
-        }
-        if (!kind.m_idempotent && m_places.m_keys.count({heading, "once"}) == 0) {
-            add(heading, "idempotent", "a kind with idempotent = no states once = claim, ticket or none");
+        std::uint64_t sum = 0;
+        for (const split_part& part : kind.m_split) {
+            sum += part.m_weight;
+            if (m_set.m_services.count(part.m_service) == 0) {
+                add(heading, "split",
+                    "split names the service " + part.m_service.m_value + ", which does not exist");
+            }
         }
-        if (recorded && kind.m_retention < kind.m_deadline && is_read(heading, {"retention", "deadline"})) {
-            add(heading, "retention", "retention is shorter than deadline");
+        if (!kind.m_split.empty() && sum == 0) {
+            add(heading, "split", "split gives no service a weight");
         }
     }
 
-    /** Adds an error for each kind that matches the same method and path as another kind of its service. */
+    /** Adds an error for each kind that matches the same method and path as another kind of its host. */
     void check_matches()
     {
-        std::map<std::tuple<service_name, std::string, std::string>, kind_name> seen;
+        std::map<std::tuple<std::string, std::string, std::string>, kind_name> seen;
         for (const auto& [name, kind] : m_set.m_kinds) {
             const std::string heading = heading_of(object_sort::kind, name.m_value);
-            if (kind.m_service.empty() || !is_read(heading, {"service", "method", "path_prefix"})) {
+            if (kind.m_service.empty() || !is_read(heading, {"service", "host", "method", "path_prefix"})) {
                 continue;
             }
             const auto [first, added] =
-                seen.emplace(std::tuple(kind.m_service, kind.m_method, kind.m_path_prefix), name);
+                seen.emplace(std::tuple(host_of(kind), kind.m_method, kind.m_path_prefix), name);
             if (!added) {
                 add(heading, "path_prefix",
                     "it matches the same method and path as the kind " + first->second.m_value);
--- a/src/config/config_func.cpp
+++ b/src/config/config_func.cpp
@@ -4,7 +4,9 @@
 #include "config/section_func.h"
 #include "config/value_func.h"
 
+#include <algorithm>
 #include <array>
+#include <functional>
 #include <openssl/evp.h>
 
 namespace waxwing {
@@ -37,15 +39,6 @@
     return whole_segment || path[prefix.size()] == '/' || path[prefix.size()] == '?';
 }
 
-/** Tells whether @p a matches fewer requests than @p b, where both match one. */
-bool is_closer(const kind_object& a, const kind_object& b)
-{
-    if (a.m_path_prefix.size() != b.m_path_prefix.size()) {
-        return a.m_path_prefix.size() > b.m_path_prefix.size();
-    }
-    return !a.m_method.empty() && b.m_method.empty();
-}
-
 } // namespace
 
 std::vector<config_block> write_blocks(const config_set& set)
@@ -88,21 +81,54 @@
     return digest;
 }
 
-const kind_object* find_kind(const config_set& set, const service_name& service, const kind_name& named,
-                             std::string_view method, std::string_view path)
+const std::string& host_of(const kind_object& kind)
+{
+    return kind.m_host.empty() ? kind.m_service.m_value : kind.m_host;
+}
+
+kind_index::kind_index(std::shared_ptr<const config_set> set) : m_set(std::move(set))
+{
+    for (const auto& [name, kind] : m_set->m_kinds) {
+        host_entry& host = m_hosts[host_of(kind)];
+        std::vector<const kind_object*>& same = host.m_kinds[kind.m_path_prefix];
+        same.insert(kind.m_method.empty() ? same.end() : same.begin(), &kind);
+        host.m_lengths.push_back(kind.m_path_prefix.size());
+    }
+    for (auto& [name, host] : m_hosts) {
+        std::vector<std::size_t>& lengths = host.m_lengths;
+        std::sort(lengths.begin(), lengths.end(), std::greater<>());
+        lengths.erase(std::unique(lengths.begin(), lengths.end()), lengths.end());
+    }
+}
+
+bool kind_index::knows(const std::string& host) const
+{
+    return m_hosts.contains(host) || m_set->m_services.contains(service_name{host});
+}
+
+const kind_object* kind_index::find(const std::string& host, const kind_name& named, std::string_view method,
+                                    std::string_view path) const
 {
     if (!named.empty()) {
-        const auto found = set.m_kinds.find(named);
-        return found != set.m_kinds.end() && found->second.m_service == service ? &found->second : nullptr;
+        const auto found = m_set->m_kinds.find(named);
+        return found != m_set->m_kinds.end() && host_of(found->second) == host ? &found->second : nullptr;
     }
-    const kind_object* best = nullptr;
-    for (const auto& [name, kind] : set.m_kinds) {
-        if (kind.m_service == service && matches(kind, method, path) &&
-            (best == nullptr || is_closer(kind, *best))) {
-            best = &kind;
+    const auto entry = m_hosts.find(host);
+    if (entry == m_hosts.end()) {
+        return nullptr;
+    }
+    for (const std::size_t length : entry->second.m_lengths) {
+        const auto same = entry->second.m_kinds.find(path.substr(0, length));
+        if (length > path.size() || same == entry->second.m_kinds.end()) {
+            continue;
+        }
+        for (const kind_object* const kind : same->second) {
+            if (matches(*kind, method, path)) {
+                return kind;
+            }
         }
     }
-    return best;
+    return nullptr;
 }
 
 } // namespace waxwing
--- a/src/config/config_func.h
+++ b/src/config/config_func.h
@@ -4,8 +4,10 @@
 
 #include "config/config_type.h"
 
+#include <memory>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace waxwing {
@@ -72,9 +74,38 @@
 result<config_set, merge_failure> merge_configs(const config_set& base, const config_set& mine,
                                                 const config_set& theirs);
 
-/** Finds the kind of a request: by @p named where not empty, else by service, method and longest path. */
-const kind_object* find_kind(const config_set& set, const service_name& service, const kind_name& named,
-                             std::string_view method, std::string_view path);
+/** Gives the host that requests of @p kind name. */
+const std::string& host_of(const kind_object& kind);
+
+/** Finds the kinds of requests in one set. Thread safety: immutable once made. */
+class kind_index {
+public:
+    /** Indexes @p set, which is kept. */
+    explicit kind_index(std::shared_ptr<const config_set> set);
+
+    /** Tells whether any kind or service has the name @p host. */
+    bool knows(const std::string& host) const;
+
+    /**
+     * Finds the kind of a request: by @p named where it is not empty, else by the longest path prefix among the
+     * kinds of @p host that allow @p method; null where none matches.
+     */
+    const kind_object* find(const std::string& host, const kind_name& named, std::string_view method,
+                            std::string_view path) const;
+
+private:
+    /** The kinds of one host by path prefix; those for one method only come before the others. */
+    using prefixes = std::unordered_map<std::string_view, std::vector<const kind_object*>>;
+
+    /** What is known of one host. */
+    struct host_entry {
+        prefixes m_kinds;                  ///< By path prefix.
+        std::vector<std::size_t> m_lengths; ///< Of the prefixes, longest first, each once.
+    };
+
+    std::shared_ptr<const config_set> m_set;
+    std::unordered_map<std::string, host_entry> m_hosts;
+};
 
 } // namespace waxwing
 
--- a/src/config/config_type.h
+++ b/src/config/config_type.h
@@ -11,13 +11,6 @@
 
 namespace waxwing {
 
-/** How a non-idempotent request is kept from running twice. */
-enum class once_mode {
-    none,  ///< Only by never trying again what may have run.
-    claim, ///< By a row in the platform's table for each idempotency key.
-    ticket ///< By a ticket that the caller gets first.
-};
-
 /** `[service NAME]`: something that callers call. */
 struct service_object {
     service_name m_name;                ///< The name.
@@ -28,21 +21,31 @@
     std::uint16_t m_refusal_status = 0; ///< Status by which targets say "not run"; 0 is none.
     duration m_drain_limit = std::chrono::seconds(30); ///< Longest drain.
     std::vector<service_name> m_calls;                 ///< Services that it may call; checked for existence.
+    std::uint32_t m_connections = 0; ///< Connections that one target accepts; 0 is what the target itself says.
+};
+
+/** One part of a split: a service and its share of the requests. */
+struct split_part {
+    service_name m_service;     ///< The service.
+    std::uint32_t m_weight = 0; ///< Against the sum over all parts.
+
+    friend bool operator==(const split_part&, const split_part&) = default;
 };
 
 /** `[kind NAME]`: a kind of request. */
 struct kind_object {
     kind_name m_name;                   ///< The name.
     service_name m_service;             ///< The service that it calls.
+    std::vector<split_part> m_split;    ///< Services that share its requests; empty where it is m_service's alone.
+    std::string m_host;                 ///< Host that it matches; empty is the name of the service.
     std::string m_method;               ///< Method that it matches; empty is any.
     std::string m_path_prefix;          ///< Start of the paths that it matches.
     std::uint8_t m_importance = 0;      ///< 0 to 255; greater is shed later.
     bool m_idempotent = false;          ///< Whether running it twice does no harm.
-    once_mode m_once = once_mode::none; ///< How a second run is kept away.
-    duration m_deadline =
-        std::chrono::seconds(2); ///< Deadline where the caller gives none, and the longest one.
+    duration m_deadline = std::chrono::seconds(2); ///< Deadline where the caller gives none, and the longest one.
+    duration m_objective{};      ///< Time within which an answer has its full value; zero is the deadline.
+    std::uint32_t m_attempts = 3; ///< Targets to which one request may be sent at most.
     std::string m_retry;         ///< Name of the retry policy.
-    duration m_retention = std::chrono::hours(24); ///< How long an outcome is kept for re-sends.
 };
 
 /** `[caller NAME]`: somebody outside who calls. */
@@ -51,6 +54,16 @@
     share_settings m_share; ///< Its share.
 };
 
+/** Bounds on what a caller may send. */
+struct caller_limits {
+    std::uint32_t m_header_bytes = 64 * 1024;             ///< Longest request line and header.
+    std::uint32_t m_body_bytes = 1024 * 1024;             ///< Longest body.
+    duration m_request_time = std::chrono::seconds(10);   ///< Longest time to send a request.
+    duration m_idle_time = std::chrono::seconds(30);      ///< Connections without traffic are closed after it.
+
+    friend bool operator==(const caller_limits&, const caller_limits&) = default;
+};
+
 /** A whole set of objects. Names are unique for each sort. */
 struct config_set {
     std::map<service_name, service_object> m_services;      ///< By name.
@@ -61,6 +74,7 @@
     std::map<std::string, retry_settings> m_retries;        ///< `[retry NAME]` by name.
     share_settings m_unknown_callers;                       ///< `[caller *]`: who has no object.
     std::uint8_t m_depth_limit = 20;                        ///< `[limits fleet]` depth: longest call chain.
+    caller_limits m_caller_limits;                          ///< `[limits fleet]`: what callers may send.
 };
 
 /** A file of a configuration: its name and its text. */
--- a/src/config/key_type.h
+++ b/src/config/key_type.h
@@ -17,12 +17,10 @@
 inline constexpr name_table<7> object_sort_names{"limits",  "admission", "routing", "retry",
                                                  "service", "kind",      "caller"};
 
-/** Names of the ways to keep a second run away. */
-inline constexpr name_table<3> once_mode_names{"none", "claim", "ticket"};
-
 /** A text of a form that is checked. */
 enum class text_form {
     path,     ///< Begins with `/`; visible ASCII.
+    host,     ///< A host name without port.
     method,   ///< An HTTP method.
     reference ///< The name of another object.
 };
@@ -41,6 +39,12 @@
     std::vector<service_name>& (*m_get)(Object&) = nullptr; ///< Finds them.
 };
 
+/** Gives the parts of a split that a key fills. */
+template<class Object>
+struct split_field {
+    std::vector<split_part>& (*m_get)(Object&) = nullptr; ///< Finds them.
+};
+
 /** Gives the plain value of the type @p Value that a key fills. */
 template<class Object, class Value>
 struct value_field {
@@ -49,10 +53,10 @@
 
 /** Where the value of a key goes. */
 template<class Object>
-using key_field = std::variant<text_field<Object>, names_field<Object>, value_field<Object, bool>,
+using key_field = std::variant<text_field<Object>, names_field<Object>, split_field<Object>, value_field<Object, bool>,
                                value_field<Object, std::uint8_t>, value_field<Object, std::uint16_t>,
                                value_field<Object, std::uint32_t>, value_field<Object, double>,
-                               value_field<Object, duration>, value_field<Object, once_mode>>;
+                               value_field<Object, duration>>;
 
 /** The class and the type of a pointer to a member. */
 template<class Member>
@@ -96,6 +100,14 @@
     return names_field<typename member_traits<decltype(Member)>::object>{&follow_members<Member>};
 }
 
+/** Makes the field of the split @p Member. */
+template<auto Member>
+constexpr auto split_at()
+{
+    using object = typename member_traits<decltype(Member)>::object;
+    return split_field<object>{&follow_members<Member>};
+}
+
 /** Whether a key must be there. */
 enum class key_need {
     optional, ///< Without it the default holds; write_config leaves out a default.
--- a/src/config/table/keys.h
+++ b/src/config/table/keys.h
@@ -11,11 +11,20 @@
 /** What `[limits fleet]` holds. */
 struct fleet_limits {
     std::uint8_t m_depth = config_set{}.m_depth_limit; ///< Longest call chain.
+    caller_limits m_caller;                            ///< What callers may send.
 };
 
-inline const std::array<key_info<fleet_limits>, 1> fleet_keys{{
+inline const std::array<key_info<fleet_limits>, 5> fleet_keys{{
     {"depth", value_at<&fleet_limits::m_depth>(), key_need::optional, "1", "64",
      "Longest call chain; a call below it is refused as a loop"},
+    {"header_bytes", value_at<&fleet_limits::m_caller, &caller_limits::m_header_bytes>(), key_need::optional,
+     "256", "1048576", "Longest request line and header of a caller, in bytes"},
+    {"body_bytes", value_at<&fleet_limits::m_caller, &caller_limits::m_body_bytes>(), key_need::optional, "0",
+     "67108864", "Longest body of a caller's request, in bytes"},
+    {"request_time", value_at<&fleet_limits::m_caller, &caller_limits::m_request_time>(), key_need::optional,
+     "10ms", "1h", "Longest time in which a caller sends one request"},
+    {"idle_time", value_at<&fleet_limits::m_caller, &caller_limits::m_idle_time>(), key_need::optional, "10ms",
+     "1h", "Callers' connections without traffic are closed after it"},
 }};
 
 inline const std::array<key_info<admission_settings>, 9> admission_keys{{
@@ -67,7 +76,7 @@
      "Longest wait before a retry"},
 }};
 
-inline const std::array<key_info<service_object>, 7> service_keys{{
+inline const std::array<key_info<service_object>, 8> service_keys{{
     {"admission", text_at<&service_object::m_admission>(text_form::reference, object_sort::admission),
      key_need::required, "", "", "The admission policy at its targets"},
     {"routing", text_at<&service_object::m_routing>(text_form::reference, object_sort::routing),
@@ -82,12 +91,18 @@
      "Longest drain"},
     {"calls", names_at<&service_object::m_calls>(), key_need::optional, "", "",
      "Services that it may call, with blanks between; without cycles"},
+    {"connections", value_at<&service_object::m_connections>(), key_need::optional, "0", "100000",
+     "Connections that one target accepts; 0 is what the target itself says"},
 }};
 
-inline const std::array<key_info<kind_object>, 9> kind_keys{{
+inline const std::array<key_info<kind_object>, 11> kind_keys{{
     {"service",
      text_at<&kind_object::m_service, &service_name::m_value>(text_form::reference, object_sort::service),
      key_need::required, "", "", "The service that it calls"},
+    {"split", split_at<&kind_object::m_split>(), key_need::optional, "", "",
+     "Services that share its requests, as SERVICE:WEIGHT with blanks between; the first one is the service"},
+    {"host", text_at<&kind_object::m_host>(text_form::host), key_need::optional, "", "",
+     "Host that it matches; without it the name of the service"},
     {"method", text_at<&kind_object::m_method>(text_form::method), key_need::optional, "", "",
      "Method that it matches; without it any"},
     {"path_prefix", text_at<&kind_object::m_path_prefix>(text_form::path), key_need::optional, "", "",
@@ -96,14 +111,14 @@
      "Greater is shed later"},
     {"idempotent", value_at<&kind_object::m_idempotent>(), key_need::required, "", "",
      "Whether running it twice does no harm"},
-    {"once", value_at<&kind_object::m_once>(), key_need::stated, "", "",
-     "How a second run is kept away; must be stated where idempotent = no"},
     {"deadline", value_at<&kind_object::m_deadline>(), key_need::optional, "1ms", "10m",
      "Deadline where the caller gives none, and the longest one"},
+    {"objective", value_at<&kind_object::m_objective>(), key_need::optional, "0ms", "10m",
+     "Time within which an answer has its full value; without it the deadline"},
+    {"attempts", value_at<&kind_object::m_attempts>(), key_need::optional, "1", "100",
+     "Targets to which one request may be sent at most"},
     {"retry", text_at<&kind_object::m_retry>(text_form::reference, object_sort::retry), key_need::required,
      "", "", "The retry policy"},
-    {"retention", value_at<&kind_object::m_retention>(), key_need::optional, "1s", "8760h",
-     "How long an outcome is kept for re-sends"},
 }};
 
 inline const std::array<key_info<caller_object>, 3> caller_keys{{
--- a/src/config/value_func.cpp
+++ b/src/config/value_func.cpp
@@ -28,6 +28,8 @@
 constexpr std::string_view digits = "0123456789";
 constexpr std::size_t path_limit = 255;
 constexpr std::size_t method_limit = 16;
+constexpr std::size_t host_limit = 253;           ///< Bytes; the longest name of the domain system.
+constexpr std::uint32_t weight_limit = 1'000'000; ///< Of one part of a split.
 
 /** Puts @p text in quotation marks. */
 std::string quote(std::string_view text)
@@ -168,16 +170,6 @@
     return success();
 }
 
-result<void> parse_value(std::string_view text, const value_range& /*range*/, once_mode& value)
-{
-    const std::optional<once_mode> mode = value_in<once_mode>(once_mode_names, text);
-    if (!mode) {
-        return refuse(text, "none, claim or ticket");
-    }
-    value = *mode;
-    return success();
-}
-
 result<void> parse_value(std::string_view text, const value_range& /*range*/,
                          std::vector<service_name>& value)
 {
@@ -200,6 +192,26 @@
     return success();
 }
 
+result<void> parse_value(std::string_view text, const value_range& /*range*/, std::vector<split_part>& value)
+{
+    constexpr std::string_view wanted = "a part such as SERVICE:WEIGHT; parts are separated by blanks";
+    std::vector<split_part> parts;
+    for (std::size_t at = text.find_first_not_of(" \t"); at != std::string_view::npos;) {
+        const std::size_t end = std::min(text.find_first_of(" \t", at), text.size());
+        const std::string_view part = text.substr(at, end - at);
+        const std::size_t colon = std::min(part.find(':'), part.size());
+        const std::optional<std::uint32_t> weight =
+            read_number<std::uint32_t>(part.substr(std::min(colon + 1, part.size())));
+        if (!is_name(part.substr(0, colon)) || !weight || *weight > weight_limit) {
+            return refuse(part, wanted);
+        }
+        parts.push_back({service_name{std::string(part.substr(0, colon))}, *weight});
+        at = text.find_first_not_of(" \t", end);
+    }
+    value = std::move(parts);
+    return success();
+}
+
 result<void> parse_text(std::string_view text, text_form form, std::string& value)
 {
     const auto visible = [](char byte) { return byte > ' ' && byte < '\x7f'; };
@@ -207,6 +219,13 @@
     if (form == text_form::reference && !is_name(text)) {
         return refuse(text, "a name");
     }
+    const auto in_host = [](char byte) {
+        return (byte >= 'a' && byte <= 'z') || is_digit(byte) || byte == '.' || byte == '-' || byte == '_';
+    };
+    if (form == text_form::host &&
+        (text.empty() || text.size() > host_limit || !std::all_of(text.begin(), text.end(), in_host))) {
+        return refuse(text, "a host name in lower case");
+    }
     if (form == text_form::method &&
         (text.empty() || text.size() > method_limit || !std::all_of(text.begin(), text.end(), upper))) {
         return refuse(text, "an HTTP method in capitals");
@@ -252,11 +271,6 @@
     return write_duration(value);
 }
 
-std::string write_value(once_mode value)
-{
-    return std::string(name_in(once_mode_names, value));
-}
-
 std::string write_value(const std::vector<service_name>& value)
 {
     std::vector<service_name> names = value;
@@ -268,6 +282,15 @@
     return text;
 }
 
+std::string write_value(const std::vector<split_part>& value)
+{
+    std::string text;
+    for (const split_part& part : value) {
+        text += (text.empty() ? "" : " ") + part.m_service.m_value + ":" + std::to_string(part.m_weight);
+    }
+    return text;
+}
+
 std::string write_value(const std::string& value)
 {
     return value;
--- a/src/config/value_func.h
+++ b/src/config/value_func.h
@@ -41,10 +41,11 @@
 /** @copydoc parse_value */
 result<void> parse_value(std::string_view text, const value_range& range, duration& value);
 /** @copydoc parse_value */
-result<void> parse_value(std::string_view text, const value_range& range, once_mode& value);
-/** @copydoc parse_value */
 result<void> parse_value(std::string_view text, const value_range& range, std::vector<service_name>& value);
 
+/** @copydoc parse_value */
+result<void> parse_value(std::string_view text, const value_range& range, std::vector<split_part>& value);
+
 /** Reads a text of the form @p form into @p value, which stays as it was on an error. */
 result<void> parse_text(std::string_view text, text_form form, std::string& value);
 
@@ -61,10 +62,10 @@
 /** @copydoc write_value */
 std::string write_value(duration value);
 /** @copydoc write_value */
-std::string write_value(once_mode value);
-/** @copydoc write_value */
 std::string write_value(const std::vector<service_name>& value);
 /** @copydoc write_value */
+std::string write_value(const std::vector<split_part>& value);
+/** @copydoc write_value */
 std::string write_value(const std::string& value);
 
 /** Reads @p text into the field of @p object that @p key names. */
--- a/src/events/event_type.h
+++ b/src/events/event_type.h
@@ -19,6 +19,7 @@
     target_announced,
     target_state_changed,
     target_crashed,
+    announcement_refused,
     drain_started,
     drain_finished,
     drain_overrun,
@@ -35,7 +36,6 @@
     overload_ended,
     operator_change,
     operator_refused,
-    claim_failing,
     internal_fault
 };
 
--- a/src/events/events.cpp
+++ b/src/events/events.cpp
@@ -41,7 +41,7 @@
 void start_log(const std::string& program, log_format format)
 {
     chosen_format = format;
-    FLAGS_logtostderr = true;
+    FLAGS_logtostdout = true;
     FLAGS_log_prefix = format == log_format::text;
     google::InitGoogleLogging(program.c_str());
 }
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -55,7 +55,7 @@
       m_watch(loop, [this](int events) { on_ready(events); }),
       m_failed_start(loop, [this] { broken(m_start_error); })
 {
-    result<owned_socket> started = connect_to(address);
+    result<descriptor> started = start_connect(address, socket_use::http);
     if (started.has_error()) {
         m_start_error = started.error().m_text;
         m_failed_start.wake();
@@ -106,9 +106,8 @@
 void client_connection::on_ready(int events)
 {
     if (m_phase == phase::connecting) {
-        const int code = connect_error(m_socket.get());
-        if (code != 0) {
-            broken(std::strerror(code));
+        if (!connect_succeeded(m_socket.get())) {
+            broken("can't connect to " + to_string(m_address));
             return;
         }
         m_phase = phase::ready;
--- a/src/http/client_connection_base.h
+++ b/src/http/client_connection_base.h
@@ -3,7 +3,6 @@
 #define WAXWING_HTTP_CLIENT_CONNECTION_BASE_H
 
 #include "http/http_client_base.h"
-#include "http/socket_func.h"
 
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -84,7 +83,7 @@
     endpoint m_address;
     std::size_t m_body_limit;
     handlers m_on;
-    owned_socket m_socket;
+    descriptor m_socket;
     phase m_phase = phase::connecting;
     std::string m_out;              ///< The request.
     std::size_t m_sent = 0;         ///< Bytes of it that have gone out.
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -1,7 +1,6 @@
 /** @file http_server.cpp The HTTP server task: its listener and its connections. */
 #include "http/server_connection_base.h"
 
-#include <cerrno>
 #include <unordered_map>
 
 namespace waxwing {
@@ -37,7 +36,7 @@
     /** Starts to listen. */
     result<void> start()
     {
-        result<owned_socket> listener = listen_on(m_shared.m_settings.m_address);
+        result<descriptor> listener = listen_at(m_shared.m_settings.m_address, socket_use::http);
         if (listener.has_error()) {
             return listener.error();
         }
@@ -96,14 +95,14 @@
                 pause_accepting();
                 return;
             }
-            accepted_socket accepted = accept_from(m_listener.get());
-            if (accepted.m_socket.get() < 0) {
-                if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
+            result<accepted_connection> accepted = accept_connection(m_listener.get(), socket_use::http);
+            if (accepted.has_error()) {
+                if (accepted.error().m_code == error_code::exhausted) {
                     pause_accepting();
                 }
                 return;
             }
-            auto made = std::make_unique<server_connection>(m_shared, std::move(accepted),
+            auto made = std::make_unique<server_connection>(m_shared, std::move(accepted).value(),
                                                             m_connections.size() >= limit);
             server_connection* const raw = made.get();
             m_connections.emplace(raw, std::move(made));
@@ -147,7 +146,7 @@
 
     server_shared m_shared;
     mailbox<http_server_event> m_events;
-    owned_socket m_listener;
+    descriptor m_listener;
     io_watcher m_accept;
     bool m_accepting = true; ///< Whether m_accept watches the listener.
     wakeup m_reaper;
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -50,8 +50,8 @@
 
 } // namespace
 
-server_connection::server_connection(server_shared& shared, accepted_socket accepted, bool surplus)
-    : m_shared(shared), m_socket(std::move(accepted.m_socket)), m_peer(std::move(accepted.m_peer)),
+server_connection::server_connection(server_shared& shared, accepted_connection accepted, bool surplus)
+    : m_shared(shared), m_socket(std::move(accepted.m_socket)), m_peer(std::move(accepted.m_peer.m_host)),
       m_surplus(surplus), m_active(event_loop::now()),
       m_watch(shared.m_loop, [this](int events) { on_ready(events); }),
       m_timer(shared.m_loop, [this] { on_timer(); })
--- a/src/http/server_connection_base.h
+++ b/src/http/server_connection_base.h
@@ -3,7 +3,6 @@
 #define WAXWING_HTTP_SERVER_CONNECTION_BASE_H
 
 #include "http/http_server_base.h"
-#include "http/socket_func.h"
 
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -40,7 +39,7 @@
 class server_connection {
 public:
     /** Takes over @p accepted. @param surplus whether it is above the limit of connections. */
-    server_connection(server_shared& shared, accepted_socket accepted, bool surplus);
+    server_connection(server_shared& shared, accepted_connection accepted, bool surplus);
 
     /** Sends @p reply once all earlier ones have gone out. @pre Its exchange is pending here. */
     void reply(http_reply reply);
@@ -91,7 +90,7 @@
     duration timeout() const;
 
     server_shared& m_shared;
-    owned_socket m_socket;
+    descriptor m_socket;
     std::string m_peer;
     bool m_surplus;
     phase m_phase = phase::open;
--- a/src/link/connection_base.h
+++ b/src/link/connection_base.h
@@ -7,7 +7,7 @@
 #include "link/handshake_base.h"
 #include "link/link_base.h"
 #include "link/liveness_base.h"
-#include "link/socket_func.h"
+#include "loop/loop.h"
 #include "link/websocket_base.h"
 
 #include <deque>
--- a/src/link/datagram.cpp
+++ b/src/link/datagram.cpp
@@ -1,7 +1,7 @@
 /** @file datagram.cpp Authenticated datagrams over UDP. */
 #include "link/datagram_base.h"
 #include "link/proof_func.h"
-#include "link/socket_func.h"
+#include "loop/loop.h"
 
 #include <array>
 #include <cerrno>
--- a/src/link/link_task.cpp
+++ b/src/link/link_task.cpp
@@ -147,7 +147,7 @@
             pause_accepting();
             return;
         }
-        result<descriptor> socket = accept_connection(m_listener.get());
+        result<accepted_connection> socket = accept_connection(m_listener.get());
         if (socket.has_error()) {
             if (socket.error().m_code != error_code::unavailable) {
                 pause_accepting();
@@ -157,7 +157,7 @@
         if (m_connections.size() >= m_settings.m_link_limit) {
             continue;
         }
-        link_connection* link = start(std::move(socket).value(), {}, link_side::acceptor, {});
+        link_connection* link = start(std::move(socket).value().m_socket, {}, link_side::acceptor, {});
         if (link != nullptr) {
             m_unproven.push_back(link);
         }
--- a/src/link/message_type.h
+++ b/src/link/message_type.h
@@ -29,7 +29,6 @@
 /** Which library reads a control_message. */
 enum class control_topic {
     configuration, ///< Revisions in force and deltas; src/config.
-    claim,         ///< Claims that another node batches; src/once.
     quarantine     ///< Requests that crash targets; src/policy.
 };
 
--- a/src/loop/loop.h
+++ b/src/loop/loop.h
@@ -3,6 +3,7 @@
 #define WAXWING_LOOP_LOOP_H
 
 #include "base/base.h"
+#include "loop/socket_func.h"
 
 #include <ev.h>
 #include <functional>
--- a/src/link/socket.cpp
+++ b/src/loop/socket.cpp
@@ -1,5 +1,5 @@
 /** @file socket.cpp Non-blocking sockets. */
-#include "link/socket_func.h"
+#include "loop/socket_func.h"
 
 #include <arpa/inet.h>
 #include <array>
@@ -21,6 +21,14 @@
 /** Bytes that the kernel may hold unread, for the same reason; carries 1 Gbit/s over a millisecond. */
 constexpr int unread_limit = 128 * 1024;
 
+/** Bytes unacknowledged for longer break an HTTP connection, in milliseconds; above a few retransmissions. */
+constexpr int unacknowledged_most = 5000;
+
+/** Keep-alive probes of HTTP connections: a silent one ends after some 4 s, in seconds and probes. */
+constexpr int keep_alive_idle = 2;
+constexpr int keep_alive_interval = 1;
+constexpr int keep_alive_probes = 2;
+
 /** Makes the failure of the system call @p what at @p address. */
 auto system_failure(const char* what, const endpoint& address)
 {
@@ -34,6 +42,22 @@
     setsockopt(socket, level, name, &value, sizeof value);
 }
 
+/** Sets the options of a socket for @p use. */
+void tune(int socket, socket_use use)
+{
+    set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1);
+    if (use == socket_use::link) {
+        set_option(socket, IPPROTO_TCP, TCP_NOTSENT_LOWAT, unsent_limit);
+        set_option(socket, SOL_SOCKET, SO_RCVBUF, unread_limit);
+        return;
+    }
+    set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_most);
+    set_option(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_option(socket, IPPROTO_TCP, TCP_KEEPIDLE, keep_alive_idle);
+    set_option(socket, IPPROTO_TCP, TCP_KEEPINTVL, keep_alive_interval);
+    set_option(socket, IPPROTO_TCP, TCP_KEEPCNT, keep_alive_probes);
+}
+
 /** Opens a bound socket of @p type. */
 result<descriptor> bind_at(const endpoint& address, int type)
 {
@@ -105,11 +129,11 @@
     return to_endpoint(bound);
 }
 
-result<descriptor> listen_at(const endpoint& address)
+result<descriptor> listen_at(const endpoint& address, socket_use use)
 {
     result<descriptor> socket = bind_at(address, SOCK_STREAM);
     if (socket.has_value()) {
-        tune_link_socket(socket.value().get());
+        tune(socket.value().get(), use);
     }
     if (socket.has_value() && listen(socket.value().get(), listen_backlog) != 0) {
         return system_failure("can't listen at", address);
@@ -122,7 +146,7 @@
     return bind_at(address, SOCK_DGRAM);
 }
 
-result<descriptor> start_connect(const endpoint& address)
+result<descriptor> start_connect(const endpoint& address, socket_use use)
 {
     const result<socket_address> converted = to_socket_address(address);
     if (converted.has_error()) {
@@ -133,7 +157,7 @@
     if (socket.get() < 0) {
         return system_failure("can't open a socket for", address);
     }
-    tune_link_socket(socket.get());
+    tune(socket.get(), use);
     const auto* raw = reinterpret_cast<const sockaddr*>(&where.m_storage);
     if (connect(socket.get(), raw, where.m_size) != 0 && errno != EINPROGRESS) {
         return system_failure("can't connect to", address);
@@ -148,23 +172,19 @@
     return getsockopt(socket, SOL_SOCKET, SO_ERROR, &problem, &size) == 0 && problem == 0;
 }
 
-result<descriptor> accept_connection(int listener)
+result<accepted_connection> accept_connection(int listener, socket_use use)
 {
-    descriptor socket(accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+    socket_address from;
+    from.m_size = sizeof from.m_storage;
+    descriptor socket(accept4(listener, reinterpret_cast<sockaddr*>(&from.m_storage), &from.m_size,
+                              SOCK_NONBLOCK | SOCK_CLOEXEC));
     if (socket.get() < 0) {
         const bool none_waits = errno == EAGAIN || errno == ECONNABORTED || errno == EINTR;
         return fail(none_waits ? error_code::unavailable : error_code::exhausted,
                     "no connection was accepted");
     }
-    tune_link_socket(socket.get());
-    return socket;
-}
-
-void tune_link_socket(int socket)
-{
-    set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1);
-    set_option(socket, IPPROTO_TCP, TCP_NOTSENT_LOWAT, unsent_limit);
-    set_option(socket, SOL_SOCKET, SO_RCVBUF, unread_limit);
+    tune(socket.get(), use);
+    return accepted_connection{std::move(socket), to_endpoint(from)};
 }
 
 } // namespace waxwing
--- a/src/link/socket_func.h
+++ b/src/loop/socket_func.h
@@ -1,6 +1,6 @@
 /** @file socket_func.h Non-blocking sockets. C++17. */
-#ifndef WAXWING_LINK_SOCKET_FUNC_H
-#define WAXWING_LINK_SOCKET_FUNC_H
+#ifndef WAXWING_LOOP_SOCKET_FUNC_H
+#define WAXWING_LOOP_SOCKET_FUNC_H
 
 #include "base/base.h"
 
@@ -50,23 +50,32 @@
 /** Gives the address to which @p socket is bound. */
 endpoint local_address(int socket);
 
+/** What a TCP socket carries, by which its options are chosen. */
+enum class socket_use {
+    link, ///< Messages of many calls: no delay, and short queues of unsent and unread bytes.
+    http  ///< One request at a time: no delay, and an end where the other side went silent.
+};
+
 /** Opens a TCP socket that listens at @p address. */
-result<descriptor> listen_at(const endpoint& address);
+result<descriptor> listen_at(const endpoint& address, socket_use use = socket_use::link);
 
 /** Opens a UDP socket at @p address. */
 result<descriptor> bind_datagrams(const endpoint& address);
 
 /** Starts to connect to @p address; the socket becomes writable once that is done or has failed. */
-result<descriptor> start_connect(const endpoint& address);
+result<descriptor> start_connect(const endpoint& address, socket_use use = socket_use::link);
 
 /** Tells whether a connect that was started has succeeded. @pre The socket was found writable. */
 bool connect_succeeded(int socket);
 
-/** Accepts a connection; an error where none waits. */
-result<descriptor> accept_connection(int listener);
+/** A connection that was accepted. */
+struct accepted_connection {
+    descriptor m_socket; ///< Its socket.
+    endpoint m_peer;     ///< The other side.
+};
 
-/** Sets the options of a link's socket: no delay, and a short queue of unsent bytes. */
-void tune_link_socket(int socket);
+/** Accepts a connection; the error is `unavailable` where none waits, `exhausted` where the process has no room. */
+result<accepted_connection> accept_connection(int listener, socket_use use = socket_use::link);
 
 } // namespace waxwing
 
--- a/src/member/member.h
+++ b/src/member/member.h
@@ -3,6 +3,7 @@
 #define WAXWING_MEMBER_MEMBER_H
 
 #include "member/member_type.h"
+#include "member/announcement_type.h"
 #include "member/membership_base.h"
 
 #endif
--- a/src/node/call_task.cpp
+++ b/src/node/call_task.cpp
@@ -8,7 +8,8 @@
 namespace {
 
 /** Gives the settings of the runner of a node with @p settings. */
-runner_settings to_runner_settings(const node_settings& settings, incarnation life)
+runner_settings to_runner_settings(const node_settings& settings, const request_dialect& dialect,
+                                   incarnation life)
 {
     runner_settings made;
     made.m_self = settings.m_name;
@@ -17,31 +18,32 @@
     made.m_slots = settings.m_slots;
     made.m_shared_key = settings.m_shared_key;
     made.m_mode = settings.m_control;
+    made.m_dialect = dialect;
     return made;
 }
 
+/** Gives the settings of the entry of a node with @p settings. */
+entry_settings to_entry_settings(const node_settings& settings, const request_dialect& dialect)
+{
+    return {settings.m_name, settings.m_data_centre, settings.m_service, settings.m_control, dialect};
+}
+
 } // namespace
 
-call_task::call_task(event_loop& loop, const node_settings& settings, incarnation life, std::uint64_t seed,
-                     metrics& counted, handler on_output)
-    : m_loop(loop), m_settings(settings), m_metrics(counted), m_on_output(std::move(on_output)),
-      m_entry(settings.m_name, settings.m_data_centre, m_running, settings.m_control, seed),
-      m_runner(to_runner_settings(settings, life), m_running, seed + 1),
+call_task::call_task(event_loop& loop, const node_settings& settings, const request_dialect& dialect,
+                     incarnation life, std::uint64_t seed, metrics& counted, handler on_output)
+    : m_loop(loop), m_settings(settings), m_dialect(dialect), m_metrics(counted), m_on_output(std::move(on_output)),
+      m_entry(to_entry_settings(settings, dialect), m_running, seed),
+      m_runner(to_runner_settings(settings, dialect, life), m_running),
       m_commands(loop, [this](call_command&& command) { on_command(std::move(command)); }),
       m_timer(loop, [this] { on_time(); })
 {
     m_runner.close(rule::no_target, m_runner_actions);
-    m_runner.on_wall_time(event_loop::now(), event_loop::wall_now());
 }
 
 result<void> call_task::listen()
 {
-    http_server_settings door;
-    door.m_address = m_settings.m_callers;
-    door.m_body_limit = m_settings.m_body_limit;
-    door.m_connection_limit = m_settings.m_caller_connections;
-    auto opened =
-        http_server::open(m_loop, door, [this](http_server_event&& event) { on_http(std::move(event)); });
+    auto opened = http_server::open(m_loop, door_settings(), [this](http_server_event&& event) { on_http(std::move(event)); });
     if (opened.has_error()) {
         return opened.error();
     }
@@ -51,11 +53,16 @@
 
 void call_task::drain()
 {
-    m_entry.drain();
+    m_door->drain();
     m_runner.close(rule::draining, m_runner_actions);
     settle();
 }
 
+void call_task::refuse_callers()
+{
+    m_entry.drain();
+}
+
 std::size_t call_task::in_progress() const
 {
     const std::size_t exchanges = m_door == nullptr ? 0 : m_door->in_progress();
@@ -69,11 +76,33 @@
     return released;
 }
 
+/** Gives the callers' door its bounds from the configuration. */
+void call_task::bound_callers(const caller_limits& limits)
+{
+    http_server_settings bounds = door_settings();
+    bounds.m_header_limit = limits.m_header_bytes;
+    bounds.m_body_limit = limits.m_body_bytes;
+    bounds.m_request_timeout = limits.m_request_time;
+    bounds.m_idle_timeout = limits.m_idle_time;
+    m_door->configure(bounds);
+}
+
+http_server_settings call_task::door_settings() const
+{
+    http_server_settings made;
+    made.m_address = m_settings.m_callers;
+    made.m_body_limit = m_settings.m_body_limit;
+    made.m_connection_limit = m_settings.m_caller_connections;
+    return made;
+}
+
 void call_task::on_http(http_server_event&& event)
 {
     const instant now = event_loop::now();
     if (auto* const received = std::get_if<http_request>(&event)) {
-        m_entry.arrive(now, to_entry_request(std::move(*received)), m_entry_actions);
+        const bool from_target =
+            m_settings.m_sub_calls == sub_call_sign::address && received->m_peer == m_settings.m_callers.m_host;
+        m_entry.arrive(now, to_entry_request(std::move(*received), from_target), m_entry_actions);
     }
     else {
         m_entry.gone(now, std::get<http_gone>(event).m_exchange, m_entry_actions);
@@ -87,12 +116,15 @@
     std::visit(
         overloaded{
             [&](calls_configure& given) {
+                bound_callers(given.m_set->m_caller_limits);
                 m_entry.configure(given.m_set);
                 m_runner.configure(given.m_set);
             },
             [&](calls_put_target& given) { m_entry.put_target(now, given.m_target); },
             [&](calls_remove_target& given) { m_entry.remove_target(given.m_node); },
-            [&](calls_set_target& given) { m_runner.set_target(given.m_service, given.m_slots); },
+            [&](calls_set_target& given) {
+                m_runner.set_target(given.m_service, given.m_slots, std::move(given.m_instance));
+            },
             [&](calls_gate& given) {
                 if (given.m_open) {
                     m_runner.reopen();
@@ -109,11 +141,6 @@
             },
             [&](probe_ended& given) { m_runner.on_probe(now, given.m_accepts, m_runner_actions); },
             [&](limit_hinted& given) { m_runner.hint(now, given.m_slots); },
-            [&](claims_committed& given) {
-                m_runner.on_commit(now, given.m_token, given.m_end, given.m_conflicts, m_runner_actions);
-            },
-            [&](claim_row_read& given) { m_runner.on_row(now, given.m_key, given.m_row, m_runner_actions); },
-            [&](calls_members& given) { m_runner.set_alive(std::move(given.m_alive)); },
             [&](suspects_heard& given) { m_runner.on_quarantine(now, given.m_records); },
             [&](link_event& given) { on_link(std::move(given)); },
         },
@@ -130,9 +157,6 @@
     else if (auto* const undelivered = std::get_if<link_undelivered>(&event)) {
         on_undelivered(std::move(*undelivered));
     }
-    else if (const auto* const up = std::get_if<link_up>(&event)) {
-        m_runner.peer_up(now, up->m_peer, m_runner_actions);
-    }
     else if (const auto* const down = std::get_if<link_down>(&event)) {
         m_entry.peer_lost(now, down->m_peer, m_entry_actions);
         m_runner.peer_lost(now, down->m_peer, m_runner_actions);
@@ -151,11 +175,6 @@
     else if (const auto* const cancelled = std::get_if<cancel_message>(&message)) {
         m_runner.cancel(now, cancelled->m_attempt, m_runner_actions);
     }
-    else if (const auto* const told = std::get_if<control_message>(&message)) {
-        if (!m_runner.on_claim_message(now, peer, told->m_payload, m_runner_actions)) {
-            m_metrics.count("waxwing_claim_messages_malformed_total", {});
-        }
-    }
 }
 
 void call_task::on_undelivered(link_undelivered&& event)
@@ -163,18 +182,12 @@
     if (const auto* const asked = std::get_if<call_message>(&event.m_message)) {
         m_entry.undelivered(event_loop::now(), asked->m_attempt, m_entry_actions);
     }
-    else if (const auto* const told = std::get_if<control_message>(&event.m_message)) {
-        if (told->m_topic == control_topic::claim) {
-            m_runner.claim_undelivered(event_loop::now(), event.m_peer, told->m_payload, m_runner_actions);
-        }
-    }
 }
 
 void call_task::on_time()
 {
     const instant now = event_loop::now();
     m_entry.tick(now, m_entry_actions);
-    m_runner.on_wall_time(now, event_loop::wall_now());
     m_runner.tick(now, m_runner_actions);
     settle();
 }
@@ -256,7 +269,7 @@
     m_metrics.count("waxwing_requests_total", labels);
     m_metrics.observe("waxwing_request_seconds", {{"kind", given.m_kind.m_value}, {"hop", hop}},
                       given.m_took);
-    m_door->reply(to_http_reply(std::move(given)));
+    m_door->reply(to_http_reply(std::move(given), m_dialect));
 }
 
 } // namespace waxwing
--- a/src/node/call_task_base.h
+++ b/src/node/call_task_base.h
@@ -24,20 +24,24 @@
      * Makes the task; it does not listen yet.
      * @param loop outlives the task.
      * @param settings of the node; outlive the task.
+     * @param dialect names of the header fields; outlives the task.
      * @param life of this process.
      * @param counted gets the metrics; outlives the task.
      * @param on_output gets what the task asks for.
      */
-    call_task(event_loop& loop, const node_settings& settings, incarnation life, std::uint64_t seed,
-              metrics& counted, handler on_output);
+    call_task(event_loop& loop, const node_settings& settings, const request_dialect& dialect, incarnation life,
+              std::uint64_t seed, metrics& counted, handler on_output);
 
     /** Opens the callers' door. */
     result<void> listen();
 
-    /** Refuses callers' new requests and new work for the target; what is in progress finishes, sub-calls
-     * included. */
+    /** Takes no new work for the target, and closes callers' connections after their last reply; callers are
+     * served until refuse_callers. */
     void drain();
 
+    /** Refuses callers' new requests; what is in progress finishes, sub-calls included. */
+    void refuse_callers();
+
     /** Sends the task @p command. */
     void post(call_command command) { m_commands.post(std::move(command)); }
 
@@ -56,6 +60,8 @@
 private:
     void on_command(call_command&& command);
     void on_http(http_server_event&& event);
+    void bound_callers(const caller_limits& limits);
+    http_server_settings door_settings() const;
     void on_link(link_event&& event);
     void on_message(const node_id& peer, link_message&& message);
     void on_undelivered(link_undelivered&& event);
@@ -67,6 +73,7 @@
 
     event_loop& m_loop;
     const node_settings& m_settings;
+    const request_dialect& m_dialect;
     metrics& m_metrics;
     handler m_on_output;
     running_calls m_running;
--- a/src/node/control_task.cpp
+++ b/src/node/control_task.cpp
@@ -25,23 +25,14 @@
     return made;
 }
 
-/** Gives the settings of the client of the platform. */
-platform_settings to_platform_settings(const node_settings& settings)
-{
-    platform_settings made;
-    made.m_table = settings.m_table;
-    made.m_objects = settings.m_objects;
-    return made;
-}
-
 } // namespace
 
-control_task::control_task(event_loop& loop, const node_settings& settings, incarnation life,
+control_task::control_task(event_loop& loop, const node_settings& settings, storage& kept, incarnation life,
                            std::uint64_t seed, handler on_output)
     : m_loop(loop), m_settings(settings), m_on_output(std::move(on_output)),
       m_members(member_settings{}, to_member_record(settings, life), seed),
       m_spread(spread_settings{}, seed + 1),
-      m_platform(make_platform_client(loop, to_platform_settings(settings), seed + 2)),
+      m_storage(kept),
       m_timer(loop, [this] { on_time(); })
 {
 }
@@ -57,6 +48,7 @@
         return opened.error();
     }
     m_datagrams = std::move(opened).value();
+    m_storage.follow(std::string(head_key), [this] { look_for_revision(); });
     on_time();
     return success();
 }
@@ -122,10 +114,10 @@
 {
     std::visit(overloaded{
                    [&](spread_read_head&) {
-                       m_platform->read(std::string(head_key), [this](const auto& row) { on_head(row); });
+                       m_storage.read(std::string(head_key), [this](const auto& row) { on_head(row); });
                    },
                    [&](spread_get_object& wanted) {
-                       m_platform->get_object(wanted.m_name, [this, name = wanted.m_name](const auto& bytes) {
+                       m_storage.get_object(wanted.m_name, [this, name = wanted.m_name](const auto& bytes) {
                            m_spread.on_object(event_loop::now(), name, bytes, m_spread_actions);
                            settle();
                        });
@@ -174,11 +166,9 @@
 void control_task::apply_registration(const member_register& wanted)
 {
     table_transaction transaction;
-    transaction.m_token =
-        m_settings.m_name.m_value + "/" + std::to_string(event_loop::now().time_since_epoch().count());
     transaction.m_writes.push_back(
         {wanted.m_key, wanted.m_remove ? std::nullopt : std::optional<std::string>(wanted.m_value)});
-    m_platform->commit(std::move(transaction), [this](const auto& ended) {
+    m_storage.commit(std::move(transaction), [this](const auto& ended) {
         note_platform(ended.has_value(), ended.has_error() ? ended.error().m_text : "");
     });
 }
@@ -187,7 +177,7 @@
 void control_task::discover(const std::string& prefix, const std::string& after,
                             std::vector<std::pair<std::string, std::string>> found)
 {
-    m_platform->list(prefix, after, page_size,
+    m_storage.list(prefix, after, page_size,
                      [this, prefix, found = std::move(found)](const result<table_page>& page) mutable {
                          if (page.has_error()) {
                              note_platform(false, page.error().m_text);
@@ -238,55 +228,6 @@
     apply(spread_action{spread_read_head{}});
 }
 
-void control_task::commit(const claim_commit& wanted)
-{
-    table_transaction transaction;
-    transaction.m_token = wanted.m_token;
-    for (const auto& [key, value] : wanted.m_inserts) {
-        transaction.m_checks.push_back({key, 0});
-        transaction.m_writes.push_back({key, value});
-    }
-    for (const auto& [key, value] : wanted.m_updates) {
-        transaction.m_writes.push_back({key, value});
-    }
-    for (const claim_check& check : wanted.m_checks) {
-        transaction.m_checks.push_back({check.m_key, check.m_version});
-    }
-    m_platform->commit(std::move(transaction),
-                       [this, wanted](const result<table_commit>& ended) { resolve_commit(wanted, ended); });
-}
-
-/** Tells the call task how the transaction of claims @p wanted ended. */
-void control_task::resolve_commit(const claim_commit& wanted, const result<table_commit>& ended)
-{
-    claims_committed told{wanted.m_token, claim_commit_end::applied, {}};
-    if (ended.has_error()) {
-        const bool unknown = ended.error().m_code == error_code::unknown;
-        told.m_end = unknown ? claim_commit_end::unknown : claim_commit_end::unavailable;
-        log_event(event::claim_failing, {{"reason", ended.error().m_text}});
-    }
-    else if (!ended.value().m_applied) {
-        told.m_end = claim_commit_end::conflict;
-        told.m_conflicts = ended.value().m_failed_checks;
-    }
-    m_on_output(std::move(told));
-}
-
-void control_task::read(const claim_read& wanted)
-{
-    m_platform->read(wanted.m_key, [this, key = wanted.m_key](const result<std::optional<table_row>>& row) {
-        if (row.has_error()) {
-            m_on_output(claim_row_read{key, row.error()});
-            return;
-        }
-        std::optional<claim_row> found;
-        if (row.value().has_value()) {
-            found = claim_row{row.value()->m_value, row.value()->m_version};
-        }
-        m_on_output(claim_row_read{key, std::move(found)});
-    });
-}
-
 void control_task::leave()
 {
     m_members.leave(event_loop::now(), m_member_actions);
--- a/src/node/control_task_base.h
+++ b/src/node/control_task_base.h
@@ -7,7 +7,7 @@
 #include "member/member.h"
 #include "node/settings_func.h"
 #include "node/task_message_type.h"
-#include "platform/platform.h"
+#include "storage/storage.h"
 
 #include <functional>
 #include <memory>
@@ -17,15 +17,15 @@
 namespace waxwing {
 
 /**
- * Owns the datagram socket and the connections to the platform. Thread safety: for the loop's thread only.
+ * Owns the datagram socket and reads and writes the store. Thread safety: for the loop's thread only.
  */
 class control_task {
 public:
     using handler = std::function<void(control_output&&)>;
 
-    /** @pre @p loop and @p settings outlive the task. */
-    control_task(event_loop& loop, const node_settings& settings, incarnation life, std::uint64_t seed,
-                 handler on_output);
+    /** @pre @p loop, @p settings and @p kept outlive the task. */
+    control_task(event_loop& loop, const node_settings& settings, storage& kept, incarnation life,
+                 std::uint64_t seed, handler on_output);
 
     /** Opens the datagram socket and starts to look for other nodes and the configuration. */
     result<void> listen();
@@ -36,12 +36,6 @@
     /** Takes in a control message of the topic `configuration`. */
     void on_configuration(const node_id& peer, std::string_view payload);
 
-    /** Commits a transaction of claims; ends in one claims_committed. */
-    void commit(const claim_commit& wanted);
-
-    /** Reads a row of claims; ends in one claim_row_read. */
-    void read(const claim_read& wanted);
-
     /** Tells other nodes that this one leaves. */
     void leave();
 
@@ -51,8 +45,8 @@
     /** Gives the revision in force and its set; the set is null where none is. */
     const revision_in_force& in_force() const { return m_in_force; }
 
-    /** Gives the platform, for publications. */
-    platform_store& platform() { return *m_platform; }
+    /** Gives the store, for publications. */
+    storage& store() { return m_storage; }
 
     /** Gives the counters of the datagrams. */
     const datagram_counters& counters() const { return m_datagrams->counters(); }
@@ -71,7 +65,6 @@
     void note_unreadable();
     void on_time();
     void note_platform(bool works, const std::string& reason);
-    void resolve_commit(const claim_commit& wanted, const result<table_commit>& ended);
 
     event_loop& m_loop;
     const node_settings& m_settings;
@@ -81,7 +74,7 @@
     std::vector<member_action> m_member_actions;
     std::vector<spread_action> m_spread_actions;
     revision_in_force m_in_force;
-    std::unique_ptr<platform_store> m_platform;
+    storage& m_storage;
     std::unique_ptr<datagram_task> m_datagrams;
     std::optional<instant> m_platform_failing_since;
     bool m_settling = false;
--- a/src/node/door.cpp
+++ b/src/node/door.cpp
@@ -3,6 +3,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <array>
+
 namespace waxwing {
 
 namespace {
@@ -33,16 +36,48 @@
             {std::string(outcome_field), std::string(to_string(state))}};
 }
 
+/** Tells whether callers take @p status for the promise that the request has not run and never will. */
+bool promises_not_run(std::uint16_t status)
+{
+    constexpr std::array<std::uint16_t, 4> promises{408, 421, 429, 503};
+    return std::find(promises.begin(), promises.end(), status) != promises.end();
+}
+
+/** Writes @p wait in seconds: with fractions where the dialect allows them, else rounded up. */
+std::string write_seconds(duration wait, const request_dialect& dialect)
+{
+    if (!dialect.m_fractional_wait) {
+        return std::to_string((wait + second - duration(1)) / second);
+    }
+    const std::int64_t milliseconds = to_milliseconds(wait);
+    std::string fraction = std::to_string(milliseconds % 1000);
+    fraction.insert(0, 3 - fraction.size(), '0');
+    return std::to_string(milliseconds / 1000) + "." + fraction;
+}
+
+/** Gives the status of a problem: one that promises "not run" only where that is so. */
+std::uint16_t status_of(rule why, run_state state)
+{
+    constexpr std::uint16_t bad_gateway = 502;
+    constexpr std::uint16_t unavailable = 503;
+    if (why == rule::deadline_expired && state == run_state::not_run) {
+        return unavailable;
+    }
+    const std::uint16_t status = info_of(why).m_status;
+    return state != run_state::not_run && promises_not_run(status) ? bad_gateway : status;
+}
+
 } // namespace
 
-entry_request to_entry_request(http_request&& received)
+entry_request to_entry_request(http_request&& received, bool from_target)
 {
     return entry_request{received.m_exchange,        std::move(received.m_method),
                          std::move(received.m_path), std::move(received.m_headers),
-                         std::move(received.m_body), received.m_oversize};
+                         std::move(received.m_body), received.m_oversize,
+                         from_target,                received.m_surplus};
 }
 
-http_reply to_http_reply(entry_reply&& given)
+http_reply to_http_reply(entry_reply&& given, const request_dialect& dialect)
 {
     answer& told = given.m_answer;
     http_reply reply;
@@ -50,16 +85,17 @@
     if (told.m_rule == rule::none) {
         reply.m_status = told.m_status;
         reply.m_headers = std::move(told.m_headers);
-        reply.m_headers.push_back({std::string(outcome_field), std::string(to_string(told.m_state))});
+        if (dialect.m_own_fields) {
+            reply.m_headers.push_back({std::string(outcome_field), std::string(to_string(told.m_state))});
+        }
         reply.m_body = std::move(told.m_body);
         return reply;
     }
-    reply.m_status = info_of(told.m_rule).m_status;
+    reply.m_status = status_of(told.m_rule, told.m_state);
     reply.m_headers = problem_headers(told.m_rule, told.m_state);
     reply.m_headers.insert(reply.m_headers.end(), told.m_headers.begin(), told.m_headers.end());
-    if (told.m_retry_after > duration::zero()) {
-        const std::int64_t seconds = (told.m_retry_after + second - duration(1)) / second;
-        reply.m_headers.push_back({"Retry-After", std::to_string(seconds)});
+    if (told.m_retry_after > duration::zero() && promises_not_run(reply.m_status)) {
+        reply.m_headers.push_back({"Retry-After", write_seconds(told.m_retry_after, dialect)});
     }
     reply.m_body = problem_body(told.m_rule, told.m_state, told.m_body);
     return reply;
--- a/src/node/door_func.h
+++ b/src/node/door_func.h
@@ -9,11 +9,11 @@
 
 namespace waxwing {
 
-/** Makes the request that the caller sent. */
-entry_request to_entry_request(http_request&& received);
+/** Makes the request that the caller, or the target beside the node, sent. */
+entry_request to_entry_request(http_request&& received, bool from_target);
 
 /** Makes the reply to a caller: the target's answer, or a problem that names the rule. */
-http_reply to_http_reply(entry_reply&& given);
+http_reply to_http_reply(entry_reply&& given, const request_dialect& dialect);
 
 /** Makes a problem reply, which no cache keeps. @p detail may be empty. */
 http_reply problem_reply(exchange_id exchange, rule why, const std::string& detail);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -13,6 +13,9 @@
 
 constexpr duration drain_check_interval = std::chrono::milliseconds(50);
 constexpr duration least_drain_time = std::chrono::seconds(3);     ///< Peers have heard of the drain by then.
+constexpr duration caller_drain_time = std::chrono::milliseconds(2500); ///< Callers have turned away by then.
+constexpr duration stop_margin = std::chrono::milliseconds(400); ///< The stop ends this much before its limit.
+constexpr duration peers_wait = std::chrono::seconds(3); ///< A node that finds no other takes callers after it.
 constexpr duration farewell_time = std::chrono::milliseconds(300); ///< Last messages are sent within it.
 constexpr std::size_t greeter_count = 3; ///< Nodes that tell a new one of requests that crash targets.
 constexpr duration overload_interval = std::chrono::seconds(1);
@@ -73,18 +76,20 @@
     return node_charts{std::move(node_chart), std::move(target_chart)};
 }
 
-node::node(event_loop& loop, node_settings settings, node_charts charts, incarnation life, std::uint64_t seed)
+node::node(event_loop& loop, node_settings settings, const node_surroundings& surroundings, node_charts charts,
+           incarnation life, std::uint64_t seed)
     : m_loop(loop), m_settings(std::move(settings)), m_charts(std::move(charts)), m_life(m_charts.m_node),
-      m_calls(loop, m_settings, life, seed, m_metrics,
+      m_calls(loop, m_settings, surroundings.m_dialect, life, seed, m_metrics,
               [this](call_output&& output) { on_call_output(std::move(output)); }),
-      m_target(loop, m_settings, m_charts.m_target,
+      m_target(loop, m_settings, surroundings.m_dialect, m_charts.m_target,
                [this](target_output&& output) { on_target_output(std::move(output)); }),
-      m_control(loop, m_settings, life, seed + 100,
+      m_control(loop, m_settings, surroundings.m_storage, life, seed + 100,
                 [this](control_output&& output) { on_control_output(std::move(output)); }),
       m_peers(loop, [this](link_event&& event) { on_link_event(std::move(event)); }),
       m_operators(loop, m_settings, node_tasks{m_calls, m_target, m_control, m_peers, m_metrics, m_life},
                   seed + 200),
-      m_drain_timer(loop, [this] { check_drained(); }), m_exit_timer(loop, [this] { m_loop.stop(); }),
+      m_drain_timer(loop, [this] { check_drained(); }), m_refuse_timer(loop, [this] { m_calls.refuse_callers(); }),
+      m_exit_timer(loop, [this] { m_loop.stop(); }),
       m_overload_timer(loop, [this] { check_overload(); })
 {
 }
@@ -98,10 +103,8 @@
             return opened.error();
         }
     }
-    if (m_settings.m_target.has_value()) {
-        m_target.announce(
-            {m_settings.m_service, *m_settings.m_target, m_settings.m_slots, m_settings.m_connections});
-    }
+    m_started = event_loop::now();
+    m_target.start(m_settings);
     m_overload_timer.set(overload_interval);
     raise("listening");
     return success();
@@ -120,11 +123,6 @@
                 log_event(event::target_crashed, {{"running", std::to_string(told.m_running)}});
                 m_metrics.count("waxwing_target_crashes_total", {});
             },
-            [&](claim_commit& wanted) { m_control.commit(wanted); },
-            [&](claim_read& wanted) { m_control.read(wanted); },
-            [&](claim_send& sent) {
-                m_peers.send(sent.m_to, control_message{control_topic::claim, std::move(sent.m_payload)});
-            },
         },
         output);
 }
@@ -149,7 +147,7 @@
     log_event(event::target_state_changed, {{"from", std::string(to_string(m_own_target.m_state))},
                                             {"to", std::string(to_string(changed.m_state))}});
     m_own_target = changed;
-    m_calls.post(calls_set_target{changed.m_service, changed.m_slots});
+    m_calls.post(calls_set_target{changed.m_service, changed.m_slots, changed.m_instance});
     m_control.set_target(changed);
     update_routes(changed.m_service);
 }
@@ -160,7 +158,6 @@
                    [&](peer_changed& changed) { on_peer_changed(changed.m_record); },
                    [&](revision_in_force& taken) { on_revision(taken); },
                    [&](peer_send& sent) { m_peers.send(sent.m_peer, std::move(sent.m_message)); },
-                   [&](auto& told) { m_calls.post(std::move(told)); },
                },
                output);
 }
@@ -178,23 +175,6 @@
         greet(record);
     }
     update_routes(record.m_service);
-    tell_members();
-}
-
-/** Tells the call task which nodes take part; they batch claims for one another. */
-void node::tell_members()
-{
-    std::vector<node_id> alive{m_settings.m_name};
-    for (const member_record& record : m_control.members().members()) {
-        if (record.m_state == member_state::alive) {
-            alive.push_back(record.m_node);
-        }
-    }
-    std::sort(alive.begin(), alive.end());
-    if (alive != m_alive) {
-        m_alive = alive;
-        m_calls.post(calls_members{std::move(alive)});
-    }
 }
 
 /** Tells a node that has just come of requests that crash targets, where this one is among those who do. */
@@ -252,6 +232,7 @@
     const auto service = taken.m_set->m_services.find(m_target.target().m_service);
     if (service != taken.m_set->m_services.end()) {
         m_target.set_paths(service->second.m_health_path, service->second.m_load_path);
+        m_target.set_connections(service->second.m_connections);
     }
     raise("configured");
 }
@@ -260,7 +241,7 @@
 {
     if (const auto* const received = std::get_if<link_received>(&event)) {
         const auto* const told = std::get_if<control_message>(&received->m_message);
-        if (told != nullptr && told->m_topic != control_topic::claim) {
+        if (told != nullptr) {
             on_control_message(received->m_peer, *told);
             return;
         }
@@ -298,6 +279,19 @@
     }
 }
 
+readiness node::ready() const
+{
+    if (m_life.state() != "serving") {
+        const bool starting = m_life.state() == "starting" || m_life.state() == "joining";
+        return {false, starting ? "no configuration is in force" : "the node is stopping"};
+    }
+    const bool lonely = m_control.members().members().empty();
+    if (lonely && event_loop::now() - m_started < peers_wait) {
+        return {false, "no other node is known yet"};
+    }
+    return {true, "callers are served"};
+}
+
 void node::stop()
 {
     m_stop_began = event_loop::now();
@@ -328,6 +322,7 @@
     }
     else if (action == "start-drain-timer") {
         m_drain_timer.set(drain_check_interval);
+        m_refuse_timer.set(std::min(caller_drain_time, m_settings.m_stop_limit / 2));
     }
     else if (action == "log-in-progress") {
         log_event(event::stop_overrun, {{"in_progress", std::to_string(m_calls.in_progress())}});
@@ -350,7 +345,7 @@
         raise("drained");
         return;
     }
-    if (lasted >= m_settings.m_stop_limit) {
+    if (lasted >= m_settings.m_stop_limit - stop_margin) {
         raise("drain-timeout");
         return;
     }
--- a/src/node/node_base.h
+++ b/src/node/node_base.h
@@ -25,18 +25,37 @@
 /** Reads the charts in the folder @p folder. @return them, or every error with file and line. */
 result<node_charts, located_errors> read_charts(const std::string& folder);
 
+/** What a node needs of the place where it runs. */
+struct node_surroundings {
+    storage& m_storage;        ///< What must outlive the node is kept there.
+    request_dialect m_dialect; ///< Names of header fields.
+};
+
+/** Whether a node takes callers. */
+struct readiness {
+    bool m_ready = false;      ///< Whether it does.
+    std::string_view m_reason; ///< Why, or why not.
+};
+
 /**
  * One node. Thread safety: for the loop's thread only.
  */
 class node {
 public:
-    /** @param life must be higher than that of any earlier process of this name. @pre @p loop outlives the
-     * node. */
-    node(event_loop& loop, node_settings settings, node_charts charts, incarnation life, std::uint64_t seed);
+    /** @param life must be higher than that of any earlier process of this name.
+     * @pre @p loop and @p surroundings outlive the node. */
+    node(event_loop& loop, node_settings settings, const node_surroundings& surroundings, node_charts charts,
+         incarnation life, std::uint64_t seed);
 
     /** Opens all sockets. @return why the node can't start. */
     result<void> start();
 
+    /** Takes in what the target beside the node says of itself. */
+    void announce(const target_announcement& said) { m_target.announce(said); }
+
+    /** Tells whether callers may be sent here, and why not. */
+    readiness ready() const;
+
     /** Begins the planned stop; the loop ends when all in progress has finished, or at the bound. */
     void stop();
 
@@ -48,7 +67,6 @@
     void on_control_message(const node_id& peer, const control_message& message);
     void on_peer_changed(const member_record& record);
     void on_revision(const revision_in_force& taken);
-    void tell_members();
     void greet(const member_record& record);
     void update_routes(const service_name& service);
     void put_own_target(const target_changed& changed);
@@ -70,11 +88,12 @@
     operators_task m_operators;
     std::unordered_map<service_name, std::vector<node_id>> m_routes; ///< Targets that the entry may choose.
     std::unordered_map<node_id, incarnation> m_lives; ///< The life of each member that was last seen.
-    std::vector<node_id> m_alive;                     ///< Nodes that take part, by name.
     target_changed m_own_target;
     instant m_stop_began{};
+    instant m_started{};
     std::optional<instant> m_overload_since;
     timer m_drain_timer;
+    timer m_refuse_timer;
     timer m_exit_timer;
     timer m_overload_timer;
 };
--- a/src/node/operators_config.cpp
+++ b/src/node/operators_config.cpp
@@ -81,7 +81,7 @@
         answer_json(exchange, status_ok, {{"revisions", std::move(listed)}});
         return;
     }
-    m_tasks.m_control.platform().read(
+    m_tasks.m_control.store().read(
         audit_key(newest), [this, exchange, newest,
                             listed = std::move(listed)](const result<std::optional<table_row>>& row) mutable {
             if (row.has_error()) {
--- a/src/node/operators_task.cpp
+++ b/src/node/operators_task.cpp
@@ -57,7 +57,9 @@
     if (address.has_error()) {
         return address.error();
     }
-    target_announcement read{{said["service"].get<std::string>()}, address.value(), 1, 1};
+    target_announcement read;
+    read.m_service.m_value = said["service"].get<std::string>();
+    read.m_address = address.value();
     for (const auto& [key, field] :
          {std::pair{"slots", &read.m_slots}, std::pair{"connections", &read.m_connections}}) {
         const bool valid =
@@ -90,7 +92,7 @@
 operators_task::operators_task(event_loop& loop, const node_settings& settings, node_tasks tasks,
                                std::uint64_t seed)
     : m_loop(loop), m_settings(settings), m_tasks(tasks),
-      m_publications(loop, tasks.m_control.platform(), seed)
+      m_publications(loop, tasks.m_control.store(), seed)
 {
 }
 
--- a/src/node/publication_task.cpp
+++ b/src/node/publication_task.cpp
@@ -11,8 +11,8 @@
 
 } // namespace
 
-publication_task::publication_task(event_loop& loop, platform_store& platform, std::uint64_t seed)
-    : m_loop(loop), m_platform(platform), m_random(seed)
+publication_task::publication_task(event_loop& loop, storage& kept, std::uint64_t seed)
+    : m_loop(loop), m_storage(kept), m_random(seed)
 {
 }
 
@@ -45,7 +45,7 @@
     std::visit(
         overloaded{
             [&](const publish_read_row& wanted) {
-                m_platform.read(wanted.m_key, [this, number](const result<std::optional<table_row>>& row) {
+                m_storage.read(wanted.m_key, [this, number](const result<std::optional<table_row>>& row) {
                     result<std::optional<row_state>> told = std::optional<row_state>{};
                     if (row.has_error()) {
                         told = row.error();
@@ -57,12 +57,12 @@
                 });
             },
             [&](const publish_get_object& wanted) {
-                m_platform.get_object(wanted.m_name, [this, number](const auto& bytes) {
+                m_storage.get_object(wanted.m_name, [this, number](const auto& bytes) {
                     go_on(number, [&](publisher& one) { return one.on_object(event_loop::now(), bytes); });
                 });
             },
             [&](const publish_put_object& wanted) {
-                m_platform.put_object(wanted.m_name, wanted.m_bytes, [this, number](const auto& done) {
+                m_storage.put_object(wanted.m_name, wanted.m_bytes, [this, number](const auto& done) {
                     go_on(number, [&](publisher& one) { return one.on_put(event_loop::now(), done); });
                 });
             },
@@ -89,14 +89,13 @@
 void publication_task::commit(std::uint64_t number, const publish_commit& wanted)
 {
     table_transaction transaction;
-    transaction.m_token = wanted.m_token;
     for (const auto& [key, version] : wanted.m_checks) {
         transaction.m_checks.push_back({key, version});
     }
     for (const auto& [key, value] : wanted.m_writes) {
         transaction.m_writes.push_back({key, value});
     }
-    m_platform.commit(std::move(transaction), [this, number](const result<table_commit>& ended) {
+    m_storage.commit(std::move(transaction), [this, number](const result<table_commit>& ended) {
         result<commit_state> told = commit_state{};
         if (ended.has_error()) {
             told = ended.error();
--- a/src/node/publication_task_base.h
+++ b/src/node/publication_task_base.h
@@ -4,7 +4,7 @@
 
 #include "config/config.h"
 #include "loop/loop.h"
-#include "platform/platform.h"
+#include "storage/storage.h"
 
 #include <functional>
 #include <memory>
@@ -18,7 +18,7 @@
     using handler = std::function<void(const publish_end&)>;
 
     /** @pre @p loop and @p platform outlive this. */
-    publication_task(event_loop& loop, platform_store& platform, std::uint64_t seed);
+    publication_task(event_loop& loop, storage& kept, std::uint64_t seed);
 
     /** Publishes @p what; ends in one call of @p on_end. @return whether there was room for one more. */
     bool publish(publication what, handler on_end);
@@ -37,7 +37,7 @@
     void commit(std::uint64_t number, const publish_commit& wanted);
 
     event_loop& m_loop;
-    platform_store& m_platform;
+    storage& m_storage;
     random_source m_random;
     std::unordered_map<std::uint64_t, job> m_jobs;
     std::uint64_t m_last_job = 0;
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -15,6 +15,9 @@
 namespace {
 
 constexpr name_table<2> log_format_names{"text", "json"};
+constexpr name_table<2> configuration_source_names{"published", "platform"};
+constexpr name_table<2> sub_call_sign_names{"context", "address"};
+constexpr std::uint32_t callers_part = 2; ///< Callers may have one in so many of the descriptors.
 constexpr std::size_t settings_limit = 256 * 1024; ///< Bytes.
 
 /** Reads all of @p text as a number. */
@@ -119,6 +122,16 @@
         return read_name(log_format_names, field);
     }
 
+    std::string operator()(configuration_source node_settings::*field) const
+    {
+        return read_name(configuration_source_names, field);
+    }
+
+    std::string operator()(sub_call_sign node_settings::*field) const
+    {
+        return read_name(sub_call_sign_names, field);
+    }
+
 private:
     template<class Number>
     std::string read_number(Number node_settings::*field) const
@@ -259,6 +272,10 @@
     if (state.m_settings.m_target.has_value() && state.m_settings.m_service.empty()) {
         state.m_errors.push_back({file, 0, "target.address needs target.service"});
     }
+    node_settings& read = state.m_settings;
+    if (read.m_descriptors != 0) {
+        read.m_caller_connections = std::min(read.m_caller_connections, read.m_descriptors / callers_part);
+    }
     if (!state.m_errors.empty()) {
         return std::move(state.m_errors);
     }
--- a/src/node/settings_func.h
+++ b/src/node/settings_func.h
@@ -11,6 +11,18 @@
 
 namespace waxwing {
 
+/** Who writes the configuration. */
+enum class configuration_source {
+    published, ///< Operators publish it by waxwingctl.
+    platform   ///< Operators write it into the platform's store.
+};
+
+/** How a node knows the sub-calls of its target. */
+enum class sub_call_sign {
+    context, ///< They carry the context of the call that makes them.
+    address  ///< They come from the node's own address, where no caller is.
+};
+
 /** The settings of one node. */
 struct node_settings {
     node_id m_name;                                   ///< Unique in the fleet.
@@ -26,14 +38,18 @@
     endpoint m_operators;                      ///< Operators' door.
     std::size_t m_body_limit = 1024 * 1024;    ///< Longest body of a request, in bytes.
     std::uint32_t m_caller_connections = 1000; ///< Callers' connections at once.
+    std::uint32_t m_descriptors = 0;           ///< Descriptors that the process may open; 0 is unknown.
+    sub_call_sign m_sub_calls = sub_call_sign::context; ///< How sub-calls are known.
 
     service_name m_service;            ///< What the target serves; empty until it announces itself.
     std::optional<endpoint> m_target;  ///< Where the target listens; none until it announces itself.
     std::uint32_t m_slots = 16;        ///< Calls that the target can run at once.
     std::uint32_t m_connections = 100; ///< Connections that the target accepts.
 
-    endpoint m_table;   ///< The platform's table.
-    endpoint m_objects; ///< The platform's object store.
+    endpoint m_store; ///< The platform's store of rows and objects.
+    configuration_source m_configuration = configuration_source::published; ///< Who writes the configuration.
+    std::optional<endpoint> m_registry;  ///< Where targets announce themselves in the platform's form.
+    std::optional<endpoint> m_readiness; ///< Where the platform asks whether this node takes callers.
 
     std::string m_shared_key;     ///< Proves that a node belongs to the fleet.
     std::string m_operator_token; ///< Proves that an operator may change things; empty refuses all changes.
--- a/src/node/table/settings.h
+++ b/src/node/table/settings.h
@@ -17,7 +17,8 @@
                  data_centre_name node_settings::*, service_name node_settings::*, endpoint node_settings::*,
                  std::optional<endpoint> node_settings::*, std::uint32_t node_settings::*,
                  std::size_t node_settings::*, duration node_settings::*, control_mode node_settings::*,
-                 log_format node_settings::*>;
+                 log_format node_settings::*, configuration_source node_settings::*,
+                 sub_call_sign node_settings::*>;
 
 /** One setting. */
 struct setting_info {
@@ -38,7 +39,7 @@
 inline constexpr std::uint64_t hour_ms = 3'600'000;        ///< Milliseconds.
 
 /** All settings. */
-inline constexpr std::array<setting_info, 21> settings_table{{
+inline constexpr std::array<setting_info, 25> settings_table{{
     {"node", "name", true, &node_settings::m_name, 1, most_name, "Name of the node, unique in the fleet"},
     {"node", "region", true, &node_settings::m_region, 1, most_name, "Region in which it runs"},
     {"node", "data_centre", true, &node_settings::m_data_centre, 1, most_name,
@@ -61,8 +62,17 @@
     {"target", "slots", false, &node_settings::m_slots, 1, most_connections, "Calls that it can run at once"},
     {"target", "connections", false, &node_settings::m_connections, 1, most_connections,
      "Connections that it accepts"},
-    {"platform", "table", true, &node_settings::m_table, 0, 0, "Address of the platform's table"},
-    {"platform", "objects", true, &node_settings::m_objects, 0, 0, "Address of the platform's object store"},
+    {"listen", "descriptors", false, &node_settings::m_descriptors, 400, 10'000'000,
+     "Descriptors that the process may open; with it, caller_connections is at most half of them"},
+    {"target", "sub_calls", false, &node_settings::m_sub_calls, 0, 0,
+     "How sub-calls of the target are known: by their context, or by the node's own address"},
+    {"platform", "store", true, &node_settings::m_store, 0, 0, "Address of the platform's store"},
+    {"platform", "configuration", false, &node_settings::m_configuration, 0, 0,
+     "Who writes the configuration: published by waxwingctl, or written to the platform's store"},
+    {"platform", "registry", false, &node_settings::m_registry, 0, 0,
+     "Address at which targets announce themselves in the platform's form"},
+    {"platform", "readiness", false, &node_settings::m_readiness, 0, 0,
+     "Address at which the platform asks whether the node takes callers"},
     {"security", "shared_key", true, &node_settings::m_shared_key, least_secret, most_text,
      "Secret of all nodes of the fleet"},
     {"security", "operator_token", false, &node_settings::m_operator_token, least_secret, most_text,
--- a/src/node/target_task.cpp
+++ b/src/node/target_task.cpp
@@ -1,6 +1,8 @@
 /** @file target_task.cpp The task that speaks to the target beside the node. */
 #include "node/target_task_base.h"
 
+#include "events/events.h"
+
 #include <nlohmann/json.hpp>
 
 namespace waxwing {
@@ -12,6 +14,10 @@
 constexpr duration slow_probe_interval = std::chrono::seconds(1);         ///< While it is ready.
 constexpr std::uint16_t first_error_status = 400;
 constexpr duration least_run_time = std::chrono::milliseconds(1);
+constexpr duration connect_timeout = std::chrono::seconds(1); ///< A target on the same machine answers in a few ms.
+constexpr duration idle_limit = std::chrono::seconds(8);      ///< Targets commonly close after 10 s or more.
+constexpr std::size_t useful_connections = 2; ///< Per slot: one in use, one that is being closed or opened.
+constexpr std::size_t spare_connections = 8;  ///< Beside those, for targets with few slots.
 
 /** Looks up the state that the chart calls @p name. */
 target_state state_called(const std::string& name)
@@ -43,9 +49,10 @@
 
 } // namespace
 
-target_task::target_task(event_loop& loop, const node_settings& settings, const chart& life_chart,
-                         handler on_output)
-    : m_loop(loop), m_on_output(std::move(on_output)), m_life(life_chart),
+target_task::target_task(event_loop& loop, const node_settings&, const request_dialect& dialect,
+                         const chart& life_chart, handler on_output)
+    : m_loop(loop), m_dialect(dialect), m_on_output(std::move(on_output)), m_life(life_chart),
+      m_connect_probe(loop, [this](bool accepts) { on_connect_probe(accepts); }),
       m_timer(loop, [this] { on_time(); })
 {
     http_client_settings probes;
@@ -53,31 +60,92 @@
     probes.m_connect_timeout = probe_timeout;
     m_probe_client = http_client::make(
         loop, probes, [this](http_client_event&& event) { on_probe_event(std::move(event)); });
-    if (settings.m_target.has_value()) {
-        announce({settings.m_service, *settings.m_target, settings.m_slots, settings.m_connections});
+}
+
+void target_task::start(const node_settings& settings)
+{
+    if (!settings.m_target.has_value()) {
+        return;
     }
+    target_announcement said;
+    said.m_service = settings.m_service;
+    said.m_address = *settings.m_target;
+    said.m_slots = settings.m_slots;
+    said.m_connections = settings.m_connections;
+    announce(said);
 }
 
-void target_task::announce(const target_announcement& announced)
+void target_task::announce(const target_announcement& said)
 {
-    const bool moved = m_client == nullptr || announced.m_address != m_target.m_address ||
-                       announced.m_connections != m_target.m_connections;
-    m_target = announced;
-    if (moved && (m_client == nullptr || m_client->in_progress() == 0)) {
-        start_client();
+    const announcement_news news = m_order.take(said);
+    if (news == announcement_news::stale) {
+        return;
+    }
+    if (news == announcement_news::new_life) {
+        begin_life(said);
+    }
+    const bool resized = m_target.m_slots != said.m_slots || m_target.m_service != said.m_service;
+    if (said.m_intent != target_intent::serve) {
+        m_target.m_intent = said.m_intent;
+        raise("drain");
+        return;
     }
+    m_target = said;
+    m_speaks = !said.m_instance.empty();
     raise("announced");
+    if (m_speaks) {
+        raise("healthy");
+    }
+    if (resized && news == announcement_news::same) {
+        act("tell-peers");
+    }
     schedule();
 }
 
+/** Starts with fresh connections, since those to an earlier life are dead or lead to another target. */
+void target_task::begin_life(const target_announcement& said)
+{
+    log_event(event::target_announced, {{"service", said.m_service.m_value},
+                                        {"instance", said.m_instance},
+                                        {"life", std::to_string(said.m_life.m_value)},
+                                        {"address", to_string(said.m_address)},
+                                        {"slots", std::to_string(said.m_slots)}});
+    if (state() == target_state::draining) {
+        raise("drained");
+    }
+    else if (state() == target_state::ready && m_speaks) {
+        raise("lost");
+    }
+    m_target = said;
+    start_client();
+}
+
+std::size_t target_task::connection_limit() const
+{
+    const std::uint32_t told = m_connections != 0 ? m_connections : m_target.m_connections;
+    const std::size_t useful = std::size_t{m_target.m_slots} * useful_connections + spare_connections;
+    return told == 0 ? useful : std::min<std::size_t>(told, useful);
+}
+
 void target_task::start_client()
 {
+    std::erase_if(m_retired, [](const auto& client) { return client->in_progress() == 0; });
+    if (m_client != nullptr && m_client->in_progress() > 0) {
+        m_retired.push_back(std::move(m_client));
+    }
     http_client_settings calls;
-    calls.m_connection_limit = static_cast<long>(m_target.m_connections);
+    calls.m_connection_limit = connection_limit();
+    calls.m_connect_timeout = connect_timeout;
+    calls.m_idle_limit = idle_limit;
     m_client = http_client::make(m_loop, calls,
                                  [this](http_client_event&& event) { on_run_event(std::move(event)); });
 }
 
+void target_task::set_connections(std::uint32_t connections)
+{
+    m_connections = connections;
+}
+
 void target_task::set_paths(std::string health_path, std::string load_path)
 {
     m_health_path = std::move(health_path);
@@ -89,12 +157,16 @@
     call& sent = wanted.m_call;
     m_client->send({exchange_id{wanted.m_attempt.m_value}, m_target.m_address, std::move(sent.m_method),
                     std::move(sent.m_path), std::move(sent.m_headers), std::move(sent.m_body),
-                    std::max(wanted.m_time_left, least_run_time)});
+                    std::max(wanted.m_time_left, least_run_time), std::string(m_dialect.m_request_id),
+                    sent.m_idempotent});
 }
 
 void target_task::abort(attempt_id attempt)
 {
     m_client->abort(exchange_id{attempt.m_value});
+    for (const auto& client : m_retired) {
+        client->abort(exchange_id{attempt.m_value});
+    }
 }
 
 void target_task::on_run_event(http_client_event&& event)
@@ -113,10 +185,22 @@
 
 void target_task::probe()
 {
+    if (m_speaks) {
+        m_connect_probe.start(m_target.m_address, probe_timeout);
+        return;
+    }
     m_wanted = true;
     send_probe(m_health_path);
 }
 
+void target_task::on_connect_probe(bool accepts)
+{
+    m_on_output(probe_ended{accepts});
+    if (!accepts) {
+        raise("lost");
+    }
+}
+
 /** Sends a probe to @p path on a connection of its own. */
 void target_task::send_probe(const std::string& path)
 {
@@ -169,7 +253,7 @@
 void target_task::act(const std::string& action)
 {
     if (action == "tell-peers") {
-        m_on_output(target_changed{state(), m_target.m_service, m_target.m_slots});
+        m_on_output(target_changed{state(), m_target.m_service, m_target.m_slots, m_target.m_instance});
     }
     else if (action == "admit-work") {
         m_on_output(calls_gate{true, rule::none});
@@ -197,7 +281,7 @@
 
 void target_task::schedule()
 {
-    if (m_life.ended() || state() == target_state::absent) {
+    if (m_life.ended() || m_speaks || state() == target_state::absent) {
         m_timer.cancel();
         return;
     }
--- a/src/node/target_task_base.h
+++ b/src/node/target_task_base.h
@@ -2,8 +2,10 @@
 #ifndef WAXWING_NODE_TARGET_TASK_BASE_H
 #define WAXWING_NODE_TARGET_TASK_BASE_H
 
+#include "call/call.h"
 #include "chart/chart.h"
 #include "http/http.h"
+#include "member/member.h"
 #include "node/settings_func.h"
 #include "node/task_message_type.h"
 
@@ -13,14 +15,6 @@
 
 namespace waxwing {
 
-/** What a target says of itself. */
-struct target_announcement {
-    service_name m_service;          ///< What it serves.
-    endpoint m_address;              ///< Where it listens.
-    std::uint32_t m_slots = 1;       ///< Calls that it can run at once.
-    std::uint32_t m_connections = 1; ///< Connections that it accepts.
-};
-
 /**
  * Owns the connections to the target, and follows its life by the chart `target`.
  * Thread safety: for the loop's thread only.
@@ -29,11 +23,18 @@
 public:
     using handler = std::function<void(target_output&&)>;
 
-    /** @pre @p loop, @p settings and @p life_chart outlive the task. */
-    target_task(event_loop& loop, const node_settings& settings, const chart& life_chart, handler on_output);
+    /** @pre @p loop, @p dialect and @p life_chart outlive the task. */
+    target_task(event_loop& loop, const node_settings& settings, const request_dialect& dialect,
+                const chart& life_chart, handler on_output);
+
+    /** Announces the target that the settings name, where they name one. */
+    void start(const node_settings& settings);
+
+    /** Takes in what the target says of itself; older words than those that are known change nothing. */
+    void announce(const target_announcement& said);
 
-    /** Takes in what the target says of itself. */
-    void announce(const target_announcement& announced);
+    /** Sets how many connections the configuration allows to the target; 0 is what the target itself says. */
+    void set_connections(std::uint32_t connections);
 
     /** Sets the paths of the target's health and load endpoints; empty is none. */
     void set_paths(std::string health_path, std::string load_path);
@@ -59,19 +60,28 @@
 private:
     void on_run_event(http_client_event&& event);
     void on_probe_event(http_client_event&& event);
+    void begin_life(const target_announcement& said);
     void start_client();
+    std::size_t connection_limit() const;
+    void on_connect_probe(bool accepts);
     void send_probe(const std::string& path);
     void act(const std::string& action);
     void on_time();
     void schedule();
 
     event_loop& m_loop;
+    const request_dialect& m_dialect;
     handler m_on_output;
     chart_life m_life;
     target_announcement m_target;
+    announcement_order m_order;
+    bool m_speaks = false;           ///< Whether the target itself tells when it is ready, so that no probe need.
+    std::uint32_t m_connections = 0; ///< By the configuration; 0 is what the target says.
     std::string m_health_path;
     std::string m_load_path;
     std::unique_ptr<http_client> m_client;       ///< For calls.
+    std::vector<std::unique_ptr<http_client>> m_retired; ///< Of earlier lives, with calls in progress.
+    connect_probe m_connect_probe;
     std::unique_ptr<http_client> m_probe_client; ///< For probes, so that they never wait behind calls.
     std::uint64_t m_last_probe = 0;
     exchange_id m_load_probe; ///< The probe whose answer is the load.
--- a/src/node/task_message_type.h
+++ b/src/node/task_message_type.h
@@ -33,6 +33,7 @@
 struct calls_set_target {
     service_name m_service;    ///< The service.
     std::uint32_t m_slots = 1; ///< Calls that it can run at once.
+    std::string m_instance;    ///< Id of its present life; empty is none.
 };
 
 /** To the call task: whether the own target takes work. */
@@ -63,34 +64,15 @@
     std::uint32_t m_slots = 1; ///< The limit.
 };
 
-/** To the call task: a transaction of claims ended. */
-struct claims_committed {
-    std::string m_token;                                    ///< Of the transaction.
-    claim_commit_end m_end = claim_commit_end::unavailable; ///< How.
-    std::vector<std::string> m_conflicts;                   ///< Rows that existed.
-};
-
-/** To the call task: a row of the claims was read. */
-struct claim_row_read {
-    std::string m_key;                      ///< Of the row.
-    result<std::optional<claim_row>> m_row; ///< The row, none, or why it could not be read.
-};
-
 /** To the call task: a peer tells of requests that crash targets. */
 struct suspects_heard {
     std::vector<quarantine_record> m_records; ///< What it tells.
 };
 
-/** To the call task: the nodes that take part have changed. */
-struct calls_members {
-    std::vector<node_id> m_alive; ///< Those that do, this one included.
-};
-
 /** What the call task takes. */
 using call_command =
     std::variant<calls_configure, calls_put_target, calls_remove_target, calls_set_target, calls_gate,
-                 run_answered, run_failed, probe_ended, limit_hinted, claims_committed, claim_row_read,
-                 suspects_heard, calls_members, link_event>;
+                 run_answered, run_failed, probe_ended, limit_hinted, suspects_heard, link_event>;
 
 /** From the call task: send a message to another node. */
 struct peer_send {
@@ -99,14 +81,15 @@
 };
 
 /** What the call task tells the node. */
-using call_output = std::variant<peer_send, runner_run, runner_abort, runner_probe, runner_spread,
-                                 runner_crash, claim_commit, claim_read, claim_send>;
+using call_output =
+    std::variant<peer_send, runner_run, runner_abort, runner_probe, runner_spread, runner_crash>;
 
 /** From the target task: the target's state changed. */
 struct target_changed {
     target_state m_state = target_state::absent; ///< The new one.
     service_name m_service;                      ///< What it serves.
     std::uint32_t m_slots = 1;                   ///< Its slots.
+    std::string m_instance;                      ///< Id of its present life; empty is none.
 };
 
 /** What the target task tells the node. */
@@ -125,8 +108,7 @@
 };
 
 /** What the control task tells the node. */
-using control_output =
-    std::variant<peer_changed, revision_in_force, peer_send, claims_committed, claim_row_read>;
+using control_output = std::variant<peer_changed, revision_in_force, peer_send>;
 
 /** Makes one visitor of several functions. */
 template<class... Functions>
--- a/src/platform/platform.h
+++ b/src/storage/storage.h
@@ -1,10 +1,8 @@
-/** @file platform.h Public header of the platform library: the platform's table and object store. */
-#ifndef WAXWING_PLATFORM_PLATFORM_H
-#define WAXWING_PLATFORM_PLATFORM_H
+/** @file storage.h Public header of the storage library: rows and objects that outlive the nodes. */
+#ifndef WAXWING_STORAGE_STORAGE_H
+#define WAXWING_STORAGE_STORAGE_H
 
 #include "base/base.h"
-#include "loop/loop.h"
-
 #include <functional>
 #include <memory>
 #include <optional>
@@ -34,7 +32,6 @@
 
 /** All checks hold and all writes take effect, or nothing does. */
 struct table_transaction {
-    std::string m_token; ///< Chosen by the client; the same token again gets the first answer again.
     std::vector<table_check> m_checks; ///< What must hold.
     std::vector<table_write> m_writes; ///< What to do.
 };
@@ -52,19 +49,19 @@
 };
 
 /**
- * The platform's table and object store, as the rest of the system sees them. Each call ends in exactly one
+ * The store of rows and objects, as the rest of the system sees it. Each call ends in exactly one
  * call of its handler, never from within the call. An error `unavailable` says that nothing took effect,
  * `unknown` that it may have. Thread safety: for the loop's thread only.
  */
-class platform_store {
+class storage {
 public:
     template<class T>
     using handler = std::function<void(result<T>)>;
 
-    platform_store() = default;
-    virtual ~platform_store() = default;
-    platform_store(const platform_store&) = delete;
-    platform_store& operator=(const platform_store&) = delete;
+    storage() = default;
+    virtual ~storage() = default;
+    storage(const storage&) = delete;
+    storage& operator=(const storage&) = delete;
 
     /** Reads the row @p key; none where it does not exist. */
     virtual void read(const std::string& key, handler<std::optional<table_row>> on_done) = 0;
@@ -76,6 +73,9 @@
     /** Tries @p transaction. */
     virtual void commit(table_transaction transaction, handler<table_commit> on_done) = 0;
 
+    /** Calls @p on_change each time that the row @p key may have changed, until the storage is destroyed. */
+    virtual void follow(const std::string& key, std::function<void()> on_change) = 0;
+
     /** Puts the object @p name; the same bytes again do no harm. */
     virtual void put_object(const std::string& name, std::string bytes, handler<bool> on_done) = 0;
 
@@ -83,18 +83,6 @@
     virtual void get_object(const std::string& name, handler<std::optional<std::string>> on_done) = 0;
 };
 
-/** Settings of the client of the platform. */
-struct platform_settings {
-    endpoint m_table;                                     ///< The table service.
-    endpoint m_objects;                                   ///< The object store.
-    duration m_timeout = std::chrono::milliseconds(1500); ///< Longest wait for one answer.
-    unsigned m_in_progress_limit = 32;                    ///< Calls at once; more are refused as unavailable.
-};
-
-/** Makes the client that speaks HTTP and JSON to the platform. @pre @p loop outlives it. */
-std::unique_ptr<platform_store> make_platform_client(event_loop& loop, const platform_settings& settings,
-                                                     std::uint64_t seed);
-
 } // namespace waxwing
 
 #endif
--- a/src/waxwingd/main.cpp
+++ b/src/waxwingd/main.cpp
@@ -2,6 +2,7 @@
 #include "events/events.h"
 #include "loop/loop.h"
 #include "node/node.h"
+#include "platform/platform.h"
 
 #include <docopt/docopt.h>
 
@@ -71,8 +72,22 @@
     std::random_device device;
     const std::uint64_t seed = (static_cast<std::uint64_t>(device()) << 32U) | device();
     const incarnation life{static_cast<std::uint64_t>(event_loop::wall_now().time_since_epoch().count())};
-    node served(loop, settings, std::move(charts), life, seed);
-    const result<void> started = served.start();
+    const bool on_platform = settings.m_configuration == configuration_source::platform;
+    store_settings store;
+    store.m_address = settings.m_store;
+    const std::unique_ptr<storage> kept =
+        on_platform ? make_operator_store(loop, store, seed + 1) : make_store_client(loop, store, seed + 1);
+    const node_surroundings surroundings{*kept, on_platform ? platform_dialect() : request_dialect{}};
+    node served(loop, settings, surroundings, std::move(charts), life, seed);
+    result<void> started = served.start();
+    gateway_handlers handlers;
+    handlers.m_on_announcement = [&served](const target_announcement& said) { served.announce(said); };
+    handlers.m_is_ready = [&served] { return served.ready().m_ready; };
+    auto opened = gateway::open(
+        loop, {settings.m_registry, settings.m_readiness, settings.m_service}, std::move(handlers));
+    if (started.has_value() && opened.has_error()) {
+        started = opened.error();
+    }
     if (started.has_error()) {
         log_event(event::listen_failed, {{"reason", started.error().m_text}});
         return start_failed_status;
--- a/test/link_datagram_test.cpp
+++ b/test/link_datagram_test.cpp
@@ -1,6 +1,6 @@
 /** @file link_datagram_test.cpp Tests of the datagram task over loopback. */
 #include "link/link.h"
-#include "link/socket_func.h"
+#include "loop/loop.h"
 
 #include <criterion/criterion.h>
 #include <vector>
--- a/test/link_raw_peer.h
+++ b/test/link_raw_peer.h
@@ -3,7 +3,7 @@
 #define WAXWING_TEST_LINK_RAW_PEER_H
 
 #include "link/handshake_base.h"
-#include "link/socket_func.h"
+#include "loop/loop.h"
 #include "loop/loop.h"
 
 #include <cerrno>
