Fix: sub-calls were taken for whole requests, so nothing was shed at the entry

Cause: clients and the server of a machine share its address, so every request counted as a sub-call and no threshold was asked. Ruled out: the peer's address (the same for both); the deadline alone (a 700 ms bound of its own hides it for the deepest kind: 20 to 200 ms off). Change: the running call whose id a request's id extends is its parent; the deadline is the fallback.

--- a/src/call/entry.cpp
+++ b/src/call/entry.cpp
@@ -11,10 +11,7 @@
 constexpr duration sub_call_margin = std::chrono::milliseconds(1);
 
 /** A target's sub-call repeats its deadline to within this: both sides round down to milliseconds. */
-constexpr duration deadline_rounding = std::chrono::milliseconds(4);
-
-/** Importance of a sub-call whose parent is not known. */
-constexpr std::uint8_t orphan_importance = 255;
+constexpr duration deadline_rounding = std::chrono::milliseconds(1);
 
 /** An answer that says "go on". */
 answer proceed()
@@ -159,8 +156,8 @@
     if (fields.m_parent.has_value()) {
         checked = prepare_sub_call(now, *fields.m_parent, opened);
     }
-    else if (request.m_from_target) {
-        checked = adopt_sub_call(now, opened);
+    else if (const auto parent = parent_of(request, opened.m_deadline)) {
+        checked = begin_sub_call(now, opened, *parent, *m_running.find(*parent));
     }
     else {
         checked = prepare_root(now, opened);
@@ -241,21 +238,25 @@
 }
 
 /**
- * Begins a sub-call that names no parent. A target hands its own deadline on, so the running call whose deadline
- * is the nearest is taken for the parent. Where none is near, the call goes before whole requests, since work
- * that is already running depends on it.
+ * Finds the running call that makes the request, where the request carries no context: a target names its
+ * sub-calls by the id of the call that makes them, a dot, and a part of their own. Targets that do not are known by
+ * the deadline, which they hand on.
  */
-answer entry::adopt_sub_call(instant now, open_call& opened)
+std::optional<attempt_id> entry::parent_of(const entry_request& request, instant deadline) const
 {
-    if (const std::optional<attempt_id> parent = m_running.nearest(opened.m_deadline, deadline_rounding)) {
-        return begin_sub_call(now, opened, *parent, *m_running.find(*parent));
+    const std::string_view id_field = m_settings.m_dialect.m_request_id;
+    if (!request.m_local || id_field.empty()) {
+        return std::nullopt;
+    }
+    const std::string* const id = find_header(request.m_headers, id_field);
+    const std::size_t dot = id == nullptr ? std::string::npos : id->rfind('.');
+    if (dot != std::string::npos) {
+        const std::optional<attempt_id> named = m_running.with_request_id(id->substr(0, dot));
+        if (named.has_value()) {
+            return named;
+        }
     }
-    call_context& context = opened.m_call.m_context;
-    context.m_root = root_id{m_random()};
-    context.m_priority = priority_of(orphan_importance, 0);
-    context.m_depth = 1;
-    opened.m_is_sub_call = true;
-    return proceed();
+    return m_running.nearest(deadline, deadline_rounding);
 }
 
 /** Chooses the service of the next request of @p kind; the parts of a split get their exact shares in turn. */
--- a/src/call/entry_base.h
+++ b/src/call/entry_base.h
@@ -24,7 +24,7 @@
     header_list m_headers;   ///< All fields.
     std::string m_body;      ///< The whole body.
     bool m_oversize = false; ///< Whether the body was over the limit and was dropped.
-    bool m_from_target = false; ///< Whether the target beside this node sent it, so that it is a sub-call.
+    bool m_local = false;       ///< Whether it came from this machine, so that it may be a sub-call.
     bool m_surplus = false;     ///< Whether its connection is above the limit, so that it is refused.
 };
 
@@ -143,7 +143,7 @@
                    open_call& opened);
     answer prepare_root(instant now, open_call& opened);
     answer begin_sub_call(instant now, open_call& opened, attempt_id parent_id, running_call& parent);
-    answer adopt_sub_call(instant now, open_call& opened);
+    std::optional<attempt_id> parent_of(const entry_request& request, instant deadline) const;
     const service_name& choose_service(const kind_object& kind);
     answer prepare_sub_call(instant now, const parent_reference& reference, open_call& opened);
     bool join(const entry_request& request, const open_call& opened);
--- a/src/call/runner.cpp
+++ b/src/call/runner.cpp
@@ -178,6 +178,10 @@
     started.m_context = current.m_call.m_context;
     started.m_caller = current.m_call.m_caller;
     started.m_deadline = current.m_deadline;
+    const std::string_view id_field = m_settings.m_dialect.m_request_id;
+    const std::string* const id =
+        id_field.empty() ? nullptr : find_header(current.m_call.m_headers, id_field);
+    started.m_request_id = id == nullptr ? std::string{} : *id;
     started.m_tokens = retry_tokens(current.m_call.m_context.m_retry_tokens);
     m_running.add(attempt, started);
     call sent = current.m_call;
--- a/src/call/running.cpp
+++ b/src/call/running.cpp
@@ -7,6 +7,9 @@
 {
     if (m_calls.emplace(attempt, started).second) {
         m_deadlines.emplace(started.m_deadline, attempt);
+        if (!started.m_request_id.empty()) {
+            m_request_ids.insert_or_assign(started.m_request_id, attempt);
+        }
     }
 }
 
@@ -15,10 +18,20 @@
     const auto position = m_calls.find(attempt);
     if (position != m_calls.end()) {
         m_deadlines.erase({position->second.m_deadline, attempt});
+        const auto named = m_request_ids.find(position->second.m_request_id);
+        if (named != m_request_ids.end() && named->second == attempt) {
+            m_request_ids.erase(named);
+        }
         m_calls.erase(position);
     }
 }
 
+std::optional<attempt_id> running_calls::with_request_id(const std::string& request_id) const
+{
+    const auto position = m_request_ids.find(request_id);
+    return position == m_request_ids.end() ? std::nullopt : std::optional(position->second);
+}
+
 std::optional<attempt_id> running_calls::nearest(instant deadline, duration tolerance) const
 {
     const auto after = m_deadlines.lower_bound({deadline, attempt_id{}});
--- a/src/call/running_base.h
+++ b/src/call/running_base.h
@@ -7,6 +7,7 @@
 
 #include <optional>
 #include <set>
+#include <string>
 #include <unordered_map>
 
 namespace waxwing {
@@ -14,6 +15,7 @@
 /** One call that the target is running. */
 struct running_call {
     call_context m_context;         ///< Of the call; its time left is as of the arrival.
+    std::string m_request_id;       ///< Its id towards the target; empty where it has none.
     caller_name m_caller;           ///< The outside caller.
     instant m_deadline;             ///< The call must have ended by then.
     retry_tokens m_tokens{0};       ///< Not lent at present.
@@ -33,6 +35,9 @@
     /** Adds @p attempt. @pre It is not in the table. */
     void add(attempt_id attempt, const running_call& started);
 
+    /** Finds the call whose id towards the target is @p request_id; none where there is none. */
+    std::optional<attempt_id> with_request_id(const std::string& request_id) const;
+
     /** Finds the call whose deadline is the nearest to @p deadline, at most @p tolerance off; none where there is
      * none. */
     std::optional<attempt_id> nearest(instant deadline, duration tolerance) const;
@@ -51,7 +56,8 @@
 
 private:
     std::unordered_map<attempt_id, running_call> m_calls;
-    std::set<std::pair<instant, attempt_id>> m_deadlines; ///< Of all calls.
+    std::set<std::pair<instant, attempt_id>> m_deadlines;     ///< Of all calls.
+    std::unordered_map<std::string, attempt_id> m_request_ids; ///< Of the calls that have one.
 };
 
 } // namespace waxwing
--- a/src/node/call_task.cpp
+++ b/src/node/call_task.cpp
@@ -100,9 +100,9 @@
 {
     const instant now = event_loop::now();
     if (auto* const received = std::get_if<http_request>(&event)) {
-        const bool from_target =
-            m_settings.m_sub_calls == sub_call_sign::address && received->m_peer == m_settings.m_callers.m_host;
-        m_entry.arrive(now, to_entry_request(std::move(*received), from_target), m_entry_actions);
+        const bool local =
+            m_settings.m_sub_calls == sub_call_sign::request_id && received->m_peer == m_settings.m_callers.m_host;
+        m_entry.arrive(now, to_entry_request(std::move(*received), local), m_entry_actions);
     }
     else {
         m_entry.gone(now, std::get<http_gone>(event).m_exchange, m_entry_actions);
--- a/src/node/door_func.h
+++ b/src/node/door_func.h
@@ -9,8 +9,8 @@
 
 namespace waxwing {
 
-/** Makes the request that the caller, or the target beside the node, sent. */
-entry_request to_entry_request(http_request&& received, bool from_target);
+/** Makes the request that the caller sent. @param local whether it came from this machine. */
+entry_request to_entry_request(http_request&& received, bool local);
 
 /** Makes the reply to a caller: the target's answer, or a problem that names the rule. */
 http_reply to_http_reply(entry_reply&& given, const request_dialect& dialect);
--- a/src/node/settings_func.h
+++ b/src/node/settings_func.h
@@ -20,7 +20,7 @@
 /** How a node knows the sub-calls of its target. */
 enum class sub_call_sign {
     context, ///< They carry the context of the call that makes them.
-    address  ///< They come from the node's own address, where no caller is.
+    request_id ///< They come from this machine, and their ids extend that of the call that makes them.
 };
 
 /** The settings of one node. */
--- a/src/node/table/settings.h
+++ b/src/node/table/settings.h
@@ -65,7 +65,7 @@
     {"listen", "descriptors", false, &node_settings::m_descriptors, 400, 10'000'000,
      "Descriptors that the process may open; with it, caller_connections is at most half of them"},
     {"target", "sub_calls", false, &node_settings::m_sub_calls, 0, 0,
-     "How sub-calls of the target are known: by their context, or by the node's own address"},
+     "How sub-calls of the target are known: by their context, or by request ids that extend their parent's"},
     {"platform", "store", true, &node_settings::m_store, 0, 0, "Address of the platform's store"},
     {"platform", "configuration", false, &node_settings::m_configuration, 0, 0,
      "Who writes the configuration: published by waxwingctl, or written to the platform's store"},
