--- a/src/call/call_action_type.h
+++ b/src/call/call_action_type.h
@@ -38,6 +38,11 @@
     answer m_answer;        ///< What to tell it.
     duration m_took{};      ///< Since its arrival.
     bool m_root = false;    ///< Whether an outside caller sent it.
+    std::string m_request_id; ///< Its id; empty where it has none.
+    service_name m_service;   ///< What it called.
+    node_id m_node;           ///< Where the last attempt went; empty where none was made.
+    unsigned m_attempts = 0;  ///< Attempts sent.
+    std::uint8_t m_depth = 0; ///< Zero for the call of an outside caller.
 };
 
 /** What an entry asks for. */
@@ -57,9 +62,14 @@
 
 /** Send the answer to the entry that asked. */
 struct runner_answer {
-    node_id m_node;       ///< The entry's node, which may be this one.
-    attempt_id m_attempt; ///< Which.
-    answer m_answer;      ///< What became of it.
+    node_id m_node;           ///< The entry's node, which may be this one.
+    attempt_id m_attempt;     ///< Which.
+    answer m_answer;          ///< What became of it.
+    std::string m_request_id; ///< Of the call; empty where it has none.
+    kind_name m_kind;         ///< Of the call.
+    priority m_priority;      ///< Of the call.
+    duration m_waited{};      ///< From its arrival to its run, or to its end where it did not run.
+    duration m_took{};        ///< From its arrival to its end.
 };
 
 /** Find out whether the target still accepts connections, and call runner::on_probe. */
--- a/src/call/dialect_type.h
+++ b/src/call/dialect_type.h
@@ -4,6 +4,7 @@
 
 #include "call/context_func.h"
 
+#include <string>
 #include <string_view>
 
 namespace waxwing {
@@ -20,6 +21,14 @@
     bool m_own_fields = true;           ///< Whether the fields of waxwinghub itself are added.
 };
 
+/** Gives the id of a request with @p headers; empty where it has none. */
+inline std::string request_id_of(const request_dialect& dialect, const header_list& headers)
+{
+    const std::string* const id =
+        dialect.m_request_id.empty() ? nullptr : find_header(headers, dialect.m_request_id);
+    return id == nullptr ? std::string{} : *id;
+}
+
 } // namespace waxwing
 
 #endif
--- a/src/call/entry.cpp
+++ b/src/call/entry.cpp
@@ -97,8 +97,11 @@
         const bool root = fields.has_error() || !fields.value().m_parent.has_value();
         const kind_name kind = opened.m_kind == nullptr ? kind_name{} : opened.m_kind->m_name;
         settle_parent(now, opened, refused);
-        actions.emplace_back(
-            entry_reply{request.m_exchange, kind, std::move(refused), duration::zero(), root});
+        entry_reply reply{request.m_exchange, kind, std::move(refused), duration::zero(), root, {}, {}, {}};
+        reply.m_request_id = request_id_of(m_settings.m_dialect, request.m_headers);
+        reply.m_service = opened.m_call.m_service;
+        reply.m_depth = opened.m_call.m_context.m_depth;
+        actions.emplace_back(std::move(reply));
         return;
     }
     if (join(request, opened)) {
@@ -244,14 +247,13 @@
  */
 std::optional<attempt_id> entry::parent_of(const entry_request& request, instant deadline) const
 {
-    const std::string_view id_field = m_settings.m_dialect.m_request_id;
-    if (!request.m_local || id_field.empty()) {
+    if (!request.m_local || m_settings.m_dialect.m_request_id.empty()) {
         return std::nullopt;
     }
-    const std::string* const id = find_header(request.m_headers, id_field);
-    const std::size_t dot = id == nullptr ? std::string::npos : id->rfind('.');
+    const std::string id = request_id_of(m_settings.m_dialect, request.m_headers);
+    const std::size_t dot = id.rfind('.');
     if (dot != std::string::npos) {
-        const std::optional<attempt_id> named = m_running.with_request_id(id->substr(0, dot));
+        const std::optional<attempt_id> named = m_running.with_request_id(id.substr(0, dot));
         if (named.has_value()) {
             return named;
         }
@@ -365,8 +367,14 @@
     }
     for (const exchange_id waiter : current.m_waiters) {
         m_exchanges.erase(waiter);
-        actions.emplace_back(entry_reply{waiter, current.m_kind->m_name, given, now - current.m_arrived,
-                                         !current.m_is_sub_call});
+        entry_reply reply{waiter, current.m_kind->m_name, given, now - current.m_arrived,
+                          !current.m_is_sub_call, {}, {}, {}};
+        reply.m_request_id = request_id_of(m_settings.m_dialect, current.m_call.m_headers);
+        reply.m_service = current.m_call.m_service;
+        reply.m_node = current.m_node;
+        reply.m_attempts = current.m_attempts;
+        reply.m_depth = current.m_call.m_context.m_depth;
+        actions.emplace_back(std::move(reply));
     }
 }
 
--- a/src/call/runner.cpp
+++ b/src/call/runner.cpp
@@ -147,7 +147,12 @@
     const priority below = given.m_load.m_threshold;
     given.m_load = m_admission.report(now);
     given.m_load.m_threshold = std::max(given.m_load.m_threshold, below);
-    actions.emplace_back(runner_answer{ended.m_origin, attempt, std::move(given)});
+    const bool started = ended.m_stage != stage::queued;
+    runner_answer told{ended.m_origin, attempt, std::move(given), {}, ended.m_call.m_kind,
+                       ended.m_call.m_context.m_priority, {}, now - ended.m_arrived};
+    told.m_request_id = request_id_of(m_settings.m_dialect, ended.m_call.m_headers);
+    told.m_waited = started ? ended.m_started - ended.m_arrived : told.m_took;
+    actions.emplace_back(std::move(told));
 }
 
 /** Runs @p attempt, which was granted a slot. */
@@ -178,10 +183,7 @@
     started.m_context = current.m_call.m_context;
     started.m_caller = current.m_call.m_caller;
     started.m_deadline = current.m_deadline;
-    const std::string_view id_field = m_settings.m_dialect.m_request_id;
-    const std::string* const id =
-        id_field.empty() ? nullptr : find_header(current.m_call.m_headers, id_field);
-    started.m_request_id = id == nullptr ? std::string{} : *id;
+    started.m_request_id = request_id_of(m_settings.m_dialect, current.m_call.m_headers);
     started.m_tokens = retry_tokens(current.m_call.m_context.m_retry_tokens);
     m_running.add(attempt, started);
     call sent = current.m_call;
--- a/src/events/event_type.h
+++ b/src/events/event_type.h
@@ -29,6 +29,8 @@
     config_refused,
     platform_failing,
     platform_recovered,
+    request_answered,
+    run_ended,
     request_suspected,
     request_quarantined,
     request_released,
--- a/src/events/events.h
+++ b/src/events/events.h
@@ -3,6 +3,7 @@
 #define WAXWING_EVENTS_EVENTS_H
 
 #include "events/event_type.h"
+#include "events/sampler_base.h"
 
 #include <initializer_list>
 #include <string>
--- a/src/node/call_task.cpp
+++ b/src/node/call_task.cpp
@@ -28,6 +28,20 @@
     return {settings.m_name, settings.m_data_centre, settings.m_service, settings.m_control, dialect};
 }
 
+/** Gives the id of the whole request to which the request @p id belongs. */
+std::string_view root_of(std::string_view id)
+{
+    return id.substr(0, id.find('.'));
+}
+
+/** Decides whether an answer is logged. */
+sample_decision sample(request_sampler& sampler, const std::string& id, const answer& given)
+{
+    constexpr std::uint16_t first_failure = 500;
+    const bool failed = given.m_rule != rule::none || given.m_status >= first_failure;
+    return failed ? sampler.on_failure(event_loop::now(), root_of(id)) : sampler.on_success(root_of(id));
+}
+
 } // namespace
 
 call_task::call_task(event_loop& loop, const node_settings& settings, const request_dialect& dialect,
@@ -116,6 +130,7 @@
     std::visit(
         overloaded{
             [&](calls_configure& given) {
+                m_revision = given.m_revision;
                 bound_callers(given.m_set->m_caller_limits);
                 m_entry.configure(given.m_set);
                 m_runner.configure(given.m_set);
@@ -246,6 +261,7 @@
     for (runner_action& action : decided) {
         std::visit(overloaded{
                        [&](runner_answer& given) {
+                           log_run(given);
                            if (given.m_node == m_settings.m_name) {
                                m_entry.answered(now, given.m_attempt, given.m_answer, m_entry_actions);
                                return;
@@ -260,8 +276,54 @@
     return !decided.empty();
 }
 
+void call_task::log_reply(const entry_reply& given)
+{
+    const sample_decision decided = sample(m_entry_log, given.m_request_id, given.m_answer);
+    if (!decided.m_logged) {
+        return;
+    }
+    const answer& told = given.m_answer;
+    log_event(event::request_answered,
+              {{"request", given.m_request_id},
+               {"kind", given.m_kind.m_value},
+               {"service", given.m_service.m_value},
+               {"rule", std::string(info_of(told.m_rule).m_name)},
+               {"outcome", std::string(to_string(told.m_state))},
+               {"status", std::to_string(told.m_status)},
+               {"attempts", std::to_string(given.m_attempts)},
+               {"node", given.m_node.m_value},
+               {"took_ms", std::to_string(to_milliseconds(given.m_took))},
+               {"depth", std::to_string(given.m_depth)},
+               {"revision", std::to_string(m_revision.m_value)},
+               {"threshold", std::to_string(m_entry.threshold(event_loop::now(), given.m_kind).m_value)},
+               {"suppressed", std::to_string(decided.m_suppressed)}});
+}
+
+void call_task::log_run(const runner_answer& given)
+{
+    const sample_decision decided = sample(m_run_log, given.m_request_id, given.m_answer);
+    if (!decided.m_logged) {
+        return;
+    }
+    const answer& told = given.m_answer;
+    log_event(event::run_ended, {{"request", given.m_request_id},
+                                 {"kind", given.m_kind.m_value},
+                                 {"rule", std::string(info_of(told.m_rule).m_name)},
+                                 {"outcome", std::string(to_string(told.m_state))},
+                                 {"status", std::to_string(told.m_status)},
+                                 {"waited_ms", std::to_string(to_milliseconds(given.m_waited))},
+                                 {"took_ms", std::to_string(to_milliseconds(given.m_took))},
+                                 {"priority", std::to_string(given.m_priority.m_value)},
+                                 {"running", std::to_string(told.m_load.m_in_progress)},
+                                 {"queued", std::to_string(told.m_load.m_queued)},
+                                 {"limit", std::to_string(told.m_load.m_limit)},
+                                 {"threshold", std::to_string(told.m_load.m_threshold.m_value)},
+                                 {"suppressed", std::to_string(decided.m_suppressed)}});
+}
+
 void call_task::reply(entry_reply&& given)
 {
+    log_reply(given);
     const std::string hop = given.m_root ? "root" : "sub-call";
     const metric_labels labels{{"kind", given.m_kind.m_value},
                                {"rule", std::string(info_of(given.m_answer.m_rule).m_name)},
--- a/src/node/call_task_base.h
+++ b/src/node/call_task_base.h
@@ -2,6 +2,7 @@
 #ifndef WAXWING_NODE_CALL_TASK_BASE_H
 #define WAXWING_NODE_CALL_TASK_BASE_H
 
+#include "events/events.h"
 #include "http/http.h"
 #include "metrics/metrics.h"
 #include "node/settings_func.h"
@@ -69,6 +70,8 @@
     bool apply_entry_actions();
     bool apply_runner_actions();
     void reply(entry_reply&& given);
+    void log_reply(const entry_reply& given);
+    void log_run(const runner_answer& given);
     void on_time();
 
     event_loop& m_loop;
@@ -84,6 +87,9 @@
     mailbox<call_command> m_commands;
     timer m_timer;
     std::unique_ptr<http_server> m_door;
+    request_sampler m_entry_log{sampler_settings{}};
+    request_sampler m_run_log{sampler_settings{}};
+    revision m_revision; ///< In force, for the log.
 };
 
 } // namespace waxwing
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -228,7 +228,7 @@
 
 void node::on_revision(const revision_in_force& taken)
 {
-    m_calls.post(calls_configure{taken.m_set});
+    m_calls.post(calls_configure{taken.m_set, taken.m_info.m_revision});
     const auto service = taken.m_set->m_services.find(m_target.target().m_service);
     if (service != taken.m_set->m_services.end()) {
         m_target.set_paths(service->second.m_health_path, service->second.m_load_path);
--- a/src/node/task_message_type.h
+++ b/src/node/task_message_type.h
@@ -17,6 +17,7 @@
 /** To the call task: a configuration is in force. */
 struct calls_configure {
     std::shared_ptr<const config_set> m_set; ///< The whole set.
+    revision m_revision;                     ///< Its number.
 };
 
 /** To the call task: a target may be chosen. */
