--- a/src/call/call_action_type.h
+++ b/src/call/call_action_type.h
@@ -33,11 +33,11 @@
 
 /** Answer the caller. */
 struct entry_reply {
-    exchange_id m_exchange; ///< The caller's exchange.
-    kind_name m_kind;       ///< Empty where none was found.
-    answer m_answer;        ///< What to tell it.
-    duration m_took{};      ///< Since its arrival.
-    bool m_root = false;    ///< Whether an outside caller sent it.
+    exchange_id m_exchange;   ///< The caller's exchange.
+    kind_name m_kind;         ///< Empty where none was found.
+    answer m_answer;          ///< What to tell it.
+    duration m_took{};        ///< Since its arrival.
+    bool m_root = false;      ///< Whether an outside caller sent it.
     std::string m_request_id; ///< Its id; empty where it has none.
     service_name m_service;   ///< What it called.
     node_id m_node;           ///< Where the last attempt went; empty where none was made.
--- a/src/call/context_func.cpp
+++ b/src/call/context_func.cpp
@@ -30,8 +30,8 @@
                                                       "Expect"};
 
 /** Fields that waxwinghub reads and writes itself. */
-constexpr std::array<std::string_view, 7> own_fields{context_field, deadline_field, kind_field,        caller_field,
-                                                     outcome_field, rule_field,     "Proxy-Connection"};
+constexpr std::array<std::string_view, 7> own_fields{
+    context_field, deadline_field, kind_field, caller_field, outcome_field, rule_field, "Proxy-Connection"};
 
 /** Turns an upper-case ASCII letter into the lower-case one. */
 char to_lower(char letter)
--- a/src/call/dialect_type.h
+++ b/src/call/dialect_type.h
@@ -1,4 +1,5 @@
-/** @file dialect_type.h The names of the header fields that callers, targets and waxwinghub read from each other. */
+/** @file dialect_type.h The names of the header fields that callers, targets and waxwinghub read from each
+ * other. */
 #ifndef WAXWING_CALL_DIALECT_TYPE_H
 #define WAXWING_CALL_DIALECT_TYPE_H
 
@@ -12,8 +13,9 @@
 /** Names of header fields by what they mean. An empty name means that the field is not in use. */
 struct request_dialect {
     std::string_view m_deadline = deadline_field; ///< Of a request: time left, in whole milliseconds.
-    std::string_view m_request_id;                ///< Of a request: its id, which the target's answer repeats.
-    std::string_view m_origin;   ///< Of a request to a target: the service beside the entry; callers can't set it.
+    std::string_view m_request_id; ///< Of a request: its id, which the target's answer repeats.
+    std::string_view
+        m_origin; ///< Of a request to a target: the service beside the entry; callers can't set it.
     std::string_view m_instance; ///< Of a request to a target: the only instance that may run it.
     std::string_view m_not_run;  ///< Of a target's answer: present where the target did not run the request.
     std::uint16_t m_wrong_instance = 0; ///< Status of an instance that is not the one named; zero is none.
--- a/src/call/entry.cpp
+++ b/src/call/entry.cpp
@@ -87,7 +87,8 @@
     open_call opened;
     opened.m_arrived = now;
     opened.m_waiters = {request.m_exchange};
-    const result<request_fields> fields = read_request_fields(request.m_headers, m_settings.m_dialect.m_deadline);
+    const result<request_fields> fields =
+        read_request_fields(request.m_headers, m_settings.m_dialect.m_deadline);
     const answer checked =
         fields.has_error() ? refusal(rule::bad_header) : prepare(now, request, fields.value(), opened);
     if (is_refused(checked)) {
@@ -152,8 +153,7 @@
     made.m_caller = fields.m_caller;
     made.m_idempotent = kind.m_idempotent;
     made.m_idempotency_key = fields.m_key;
-    made.m_fingerprint =
-        fingerprint_of(fields.m_host, request.m_method, request.m_path, request.m_body);
+    made.m_fingerprint = fingerprint_of(fields.m_host, request.m_method, request.m_path, request.m_body);
     opened.m_deadline = now + std::min(fields.m_deadline.value_or(kind.m_deadline), kind.m_deadline);
     answer checked = proceed();
     if (fields.m_parent.has_value()) {
@@ -242,8 +242,8 @@
 
 /**
  * Finds the running call that makes the request, where the request carries no context: a target names its
- * sub-calls by the id of the call that makes them, a dot, and a part of their own. Targets that do not are known by
- * the deadline, which they hand on.
+ * sub-calls by the id of the call that makes them, a dot, and a part of their own. Targets that do not are
+ * known by the deadline, which they hand on.
  */
 std::optional<attempt_id> entry::parent_of(const entry_request& request, instant deadline) const
 {
@@ -261,7 +261,8 @@
     return m_running.nearest(deadline, deadline_rounding);
 }
 
-/** Chooses the service of the next request of @p kind; the parts of a split get their exact shares in turn. */
+/** Chooses the service of the next request of @p kind; the parts of a split get their exact shares in turn.
+ */
 const service_name& entry::choose_service(const kind_object& kind)
 {
     if (kind.m_split.empty()) {
@@ -367,8 +368,9 @@
     }
     for (const exchange_id waiter : current.m_waiters) {
         m_exchanges.erase(waiter);
-        entry_reply reply{waiter, current.m_kind->m_name, given, now - current.m_arrived,
-                          !current.m_is_sub_call, {}, {}, {}};
+        entry_reply reply{
+            waiter, current.m_kind->m_name, given, now - current.m_arrived, !current.m_is_sub_call, {}, {},
+            {}};
         reply.m_request_id = request_id_of(m_settings.m_dialect, current.m_call.m_headers);
         reply.m_service = current.m_call.m_service;
         reply.m_node = current.m_node;
--- a/src/call/entry_base.h
+++ b/src/call/entry_base.h
@@ -24,8 +24,8 @@
     header_list m_headers;   ///< All fields.
     std::string m_body;      ///< The whole body.
     bool m_oversize = false; ///< Whether the body was over the limit and was dropped.
-    bool m_local = false;       ///< Whether it came from this machine, so that it may be a sub-call.
-    bool m_surplus = false;     ///< Whether its connection is above the limit, so that it is refused.
+    bool m_local = false;    ///< Whether it came from this machine, so that it may be a sub-call.
+    bool m_surplus = false;  ///< Whether its connection is above the limit, so that it is refused.
 };
 
 /** Who an entry is. */
@@ -129,8 +129,8 @@
         answer m_last;                              ///< Of the attempt before a retry.
         instant m_next;                             ///< When tick is to look at it.
         std::optional<attempt_id> m_parent;         ///< The running call that makes this sub-call.
-        bool m_is_sub_call = false;                 ///< Whether a target sent it, also where the call is not known.
-        unsigned m_reached = 0;                     ///< Attempts that were handed to a target.
+        bool m_is_sub_call = false; ///< Whether a target sent it, also where the call is not known.
+        unsigned m_reached = 0;     ///< Attempts that were handed to a target.
     };
 
     /** Where the requests of one split go next. */
--- a/src/call/runner.cpp
+++ b/src/call/runner.cpp
@@ -148,8 +148,14 @@
     given.m_load = m_admission.report(now);
     given.m_load.m_threshold = std::max(given.m_load.m_threshold, below);
     const bool started = ended.m_stage != stage::queued;
-    runner_answer told{ended.m_origin, attempt, std::move(given), {}, ended.m_call.m_kind,
-                       ended.m_call.m_context.m_priority, {}, now - ended.m_arrived};
+    runner_answer told{ended.m_origin,
+                       attempt,
+                       std::move(given),
+                       {},
+                       ended.m_call.m_kind,
+                       ended.m_call.m_context.m_priority,
+                       {},
+                       now - ended.m_arrived};
     told.m_request_id = request_id_of(m_settings.m_dialect, ended.m_call.m_headers);
     told.m_waited = started ? ended.m_started - ended.m_arrived : told.m_took;
     actions.emplace_back(std::move(told));
--- a/src/call/runner_base.h
+++ b/src/call/runner_base.h
@@ -57,7 +57,8 @@
     /** Takes @p set into force for calls that arrive from now on. */
     void configure(std::shared_ptr<const config_set> set);
 
-    /** Takes note of what the target serves, of its size, and of the id of its present life; empty is none. */
+    /** Takes note of what the target serves, of its size, and of the id of its present life; empty is none.
+     */
     void set_target(const service_name& service, std::uint32_t slots, std::string instance = {});
 
     /** Takes in a call that the entry of @p origin sent; ends in one runner_answer. A repeated message is
@@ -165,11 +166,11 @@
     std::unordered_map<attempt_id, open_call> m_calls;
     std::unordered_set<attempt_id>
         m_recent; ///< Attempts that came lately, so that a repeated message runs nothing.
-    std::deque<attempt_id> m_recent_order;                             ///< The same, oldest first.
-    std::vector<admission_action> m_admission_actions;                 ///< Reused between calls.
-    instant m_tell_crash_at = instant::max(); ///< When the calls of a dead target are answered.
-    rule m_closed = rule::none;               ///< Why nothing new runs; none where the target takes work.
-    bool m_probing = false;                   ///< Whether a probe is on its way.
+    std::deque<attempt_id> m_recent_order;             ///< The same, oldest first.
+    std::vector<admission_action> m_admission_actions; ///< Reused between calls.
+    instant m_tell_crash_at = instant::max();          ///< When the calls of a dead target are answered.
+    rule m_closed = rule::none; ///< Why nothing new runs; none where the target takes work.
+    bool m_probing = false;     ///< Whether a probe is on its way.
     runner_counters m_counters;
 };
 
--- a/src/call/running_base.h
+++ b/src/call/running_base.h
@@ -38,8 +38,8 @@
     /** Finds the call whose id towards the target is @p request_id; none where there is none. */
     std::optional<attempt_id> with_request_id(const std::string& request_id) const;
 
-    /** Finds the call whose deadline is the nearest to @p deadline, at most @p tolerance off; none where there is
-     * none. */
+    /** Finds the call whose deadline is the nearest to @p deadline, at most @p tolerance off; none where
+     * there is none. */
     std::optional<attempt_id> nearest(instant deadline, duration tolerance) const;
 
     /** Finds @p attempt; null where it does not run here. The pointer holds until the next add or remove. */
@@ -56,7 +56,7 @@
 
 private:
     std::unordered_map<attempt_id, running_call> m_calls;
-    std::set<std::pair<instant, attempt_id>> m_deadlines;     ///< Of all calls.
+    std::set<std::pair<instant, attempt_id>> m_deadlines;      ///< Of all calls.
     std::unordered_map<std::string, attempt_id> m_request_ids; ///< Of the calls that have one.
 };
 
--- a/src/chart/table/charts.h
+++ b/src/chart/table/charts.h
@@ -21,8 +21,7 @@
      "log-in-progress leave-fleet close-listeners"},
     {"target.scxml", "announced healthy drain resume drained lost node-stopped",
      "tell-peers start-warm-up admit-work refuse-new-work suspect-in-progress"},
-    {"request.scxml",
-     "target-chosen duplicate retryable answered refused deadline-passed caller-gone",
+    {"request.scxml", "target-chosen duplicate retryable answered refused deadline-passed caller-gone",
      "send-attempt join-attempt start-backoff cancel-attempt answer-caller answer-refusal "
      "release"},
     {"publication.scxml",
--- a/src/config/check_func.cpp
+++ b/src/config/check_func.cpp
@@ -145,7 +145,8 @@
         }
     }
 
-    /** Adds an error where the split of @p kind names a service that does not exist, or gives no part a weight. */
+    /** Adds an error where the split of @p kind names a service that does not exist, or gives no part a
+     * weight. */
     void check_split(const std::string& heading, const kind_object& kind)
     {
         std::uint64_t sum = 0;
--- a/src/config/config_func.h
+++ b/src/config/config_func.h
@@ -87,8 +87,8 @@
     bool knows(const std::string& host) const;
 
     /**
-     * Finds the kind of a request: by @p named where it is not empty, else by the longest path prefix among the
-     * kinds of @p host that allow @p method; null where none matches.
+     * Finds the kind of a request: by @p named where it is not empty, else by the longest path prefix among
+     * the kinds of @p host that allow @p method; null where none matches.
      */
     const kind_object* find(const std::string& host, const kind_name& named, std::string_view method,
                             std::string_view path) const;
@@ -99,7 +99,7 @@
 
     /** What is known of one host. */
     struct host_entry {
-        prefixes m_kinds;                  ///< By path prefix.
+        prefixes m_kinds;                   ///< By path prefix.
         std::vector<std::size_t> m_lengths; ///< Of the prefixes, longest first, each once.
     };
 
--- a/src/config/config_type.h
+++ b/src/config/config_type.h
@@ -21,7 +21,8 @@
     std::uint16_t m_refusal_status = 0; ///< Status by which targets say "not run"; 0 is none.
     duration m_drain_limit = std::chrono::seconds(30); ///< Longest drain.
     std::vector<service_name> m_calls;                 ///< Services that it may call; checked for existence.
-    std::uint32_t m_connections = 0; ///< Connections that one target accepts; 0 is what the target itself says.
+    std::uint32_t m_connections =
+        0; ///< Connections that one target accepts; 0 is what the target itself says.
 };
 
 /** One part of a split: a service and its share of the requests. */
@@ -34,18 +35,20 @@
 
 /** `[kind NAME]`: a kind of request. */
 struct kind_object {
-    kind_name m_name;                   ///< The name.
-    service_name m_service;             ///< The service that it calls.
-    std::vector<split_part> m_split;    ///< Services that share its requests; empty where it is m_service's alone.
-    std::string m_host;                 ///< Host that it matches; empty is the name of the service.
-    std::string m_method;               ///< Method that it matches; empty is any.
-    std::string m_path_prefix;          ///< Start of the paths that it matches.
-    std::uint8_t m_importance = 0;      ///< 0 to 255; greater is shed later.
-    bool m_idempotent = false;          ///< Whether running it twice does no harm.
-    duration m_deadline = std::chrono::seconds(2); ///< Deadline where the caller gives none, and the longest one.
-    duration m_objective{};      ///< Time within which an answer has its full value; zero is the deadline.
+    kind_name m_name;       ///< The name.
+    service_name m_service; ///< The service that it calls.
+    std::vector<split_part>
+        m_split;                   ///< Services that share its requests; empty where it is m_service's alone.
+    std::string m_host;            ///< Host that it matches; empty is the name of the service.
+    std::string m_method;          ///< Method that it matches; empty is any.
+    std::string m_path_prefix;     ///< Start of the paths that it matches.
+    std::uint8_t m_importance = 0; ///< 0 to 255; greater is shed later.
+    bool m_idempotent = false;     ///< Whether running it twice does no harm.
+    duration m_deadline =
+        std::chrono::seconds(2);  ///< Deadline where the caller gives none, and the longest one.
+    duration m_objective{};       ///< Time within which an answer has its full value; zero is the deadline.
     std::uint32_t m_attempts = 3; ///< Targets to which one request may be sent at most.
-    std::string m_retry;         ///< Name of the retry policy.
+    std::string m_retry;          ///< Name of the retry policy.
 };
 
 /** `[caller NAME]`: somebody outside who calls. */
@@ -56,10 +59,10 @@
 
 /** Bounds on what a caller may send. */
 struct caller_limits {
-    std::uint32_t m_header_bytes = 64 * 1024;             ///< Longest request line and header.
-    std::uint32_t m_body_bytes = 1024 * 1024;             ///< Longest body.
-    duration m_request_time = std::chrono::seconds(10);   ///< Longest time to send a request.
-    duration m_idle_time = std::chrono::seconds(30);      ///< Connections without traffic are closed after it.
+    std::uint32_t m_header_bytes = 64 * 1024;           ///< Longest request line and header.
+    std::uint32_t m_body_bytes = 1024 * 1024;           ///< Longest body.
+    duration m_request_time = std::chrono::seconds(10); ///< Longest time to send a request.
+    duration m_idle_time = std::chrono::seconds(30);    ///< Connections without traffic are closed after it.
 
     friend bool operator==(const caller_limits&, const caller_limits&) = default;
 };
--- a/src/config/key_type.h
+++ b/src/config/key_type.h
@@ -53,10 +53,10 @@
 
 /** Where the value of a key goes. */
 template<class Object>
-using key_field = std::variant<text_field<Object>, names_field<Object>, split_field<Object>, value_field<Object, bool>,
-                               value_field<Object, std::uint8_t>, value_field<Object, std::uint16_t>,
-                               value_field<Object, std::uint32_t>, value_field<Object, double>,
-                               value_field<Object, duration>>;
+using key_field = std::variant<text_field<Object>, names_field<Object>, split_field<Object>,
+                               value_field<Object, bool>, value_field<Object, std::uint8_t>,
+                               value_field<Object, std::uint16_t>, value_field<Object, std::uint32_t>,
+                               value_field<Object, double>, value_field<Object, duration>>;
 
 /** The class and the type of a pointer to a member. */
 template<class Member>
--- a/src/config/table/keys.h
+++ b/src/config/table/keys.h
@@ -23,8 +23,8 @@
      "67108864", "Longest body of a caller's request, in bytes"},
     {"request_time", value_at<&fleet_limits::m_caller, &caller_limits::m_request_time>(), key_need::optional,
      "10ms", "1h", "Longest time in which a caller sends one request"},
-    {"idle_time", value_at<&fleet_limits::m_caller, &caller_limits::m_idle_time>(), key_need::optional, "10ms",
-     "1h", "Callers' connections without traffic are closed after it"},
+    {"idle_time", value_at<&fleet_limits::m_caller, &caller_limits::m_idle_time>(), key_need::optional,
+     "10ms", "1h", "Callers' connections without traffic are closed after it"},
 }};
 
 inline const std::array<key_info<admission_settings>, 9> admission_keys{{
--- a/src/events/sampler_base.h
+++ b/src/events/sampler_base.h
@@ -17,13 +17,13 @@
 
 /** What to do with one line. */
 struct sample_decision {
-    bool m_logged = false;           ///< Whether the line is written.
-    std::uint64_t m_suppressed = 0;  ///< Failures left out before it, to be told with it.
+    bool m_logged = false;          ///< Whether the line is written.
+    std::uint64_t m_suppressed = 0; ///< Failures left out before it, to be told with it.
 };
 
 /**
- * Chooses the requests that are logged. A whole request is chosen by its id alone, so every hop logs it or none
- * does; failures are logged besides, up to a rate. Thread safety: none needed; one owner.
+ * Chooses the requests that are logged. A whole request is chosen by its id alone, so every hop logs it or
+ * none does; failures are logged besides, up to a rate. Thread safety: none needed; one owner.
  */
 class request_sampler {
 public:
@@ -39,9 +39,9 @@
     bool is_chosen(std::string_view root_request) const;
 
     sampler_settings m_settings;
-    instant m_window{};              ///< Start of the second in which failures are counted.
-    std::uint32_t m_failures = 0;    ///< Logged in it.
-    std::uint64_t m_suppressed = 0;  ///< Left out since the last line.
+    instant m_window{};             ///< Start of the second in which failures are counted.
+    std::uint32_t m_failures = 0;   ///< Logged in it.
+    std::uint64_t m_suppressed = 0; ///< Left out since the last line.
 };
 
 } // namespace waxwing
--- a/src/events/table/events.h
+++ b/src/events/table/events.h
@@ -57,19 +57,20 @@
     {510, severity::warning, "platform-failing", "reason", "The platform's table or object store fails."},
     {511, severity::info, "platform-recovered", "outage_ms",
      "The platform's table and object store answer again."},
+    {600, severity::warning, "request-suspected", "fingerprint",
+     "A request was in progress when a target died."},
+    {601, severity::error, "request-quarantined", "fingerprint",
+     "A request crashed a second target and is refused from now on. Find the fault, then release it."},
+    {602, severity::info, "request-released", "fingerprint", "A request is no longer suspected."},
     {610, severity::info, "request-answered",
      "request kind service rule outcome status attempts node took_ms depth revision threshold suppressed",
      "An entry answered a request: by the target's answer, or by the rule named. threshold is what the entry "
      "held against the kind; node is where the last attempt went; suppressed counts failures not logged."},
     {611, severity::info, "run-ended",
      "request kind rule outcome status waited_ms took_ms priority running queued limit threshold suppressed",
-     "The node beside the target ended a call: it ran, or the rule named refused it. running, queued, limit and "
+     "The node beside the target ended a call: it ran, or the rule named refused it. running, queued, limit "
+     "and "
      "threshold are the target's at that moment."},
-    {600, severity::warning, "request-suspected", "fingerprint",
-     "A request was in progress when a target died."},
-    {601, severity::error, "request-quarantined", "fingerprint",
-     "A request crashed a second target and is refused from now on. Find the fault, then release it."},
-    {602, severity::info, "request-released", "fingerprint", "A request is no longer suspected."},
     {700, severity::warning, "overload-started", "service threshold", "The target's node began to shed."},
     {701, severity::info, "overload-ended", "service lasted_ms", "The target's node sheds no more."},
     {800, severity::info, "operator-change", "what who", "An operator's change was carried out."},
--- a/src/http/client_connection_base.h
+++ b/src/http/client_connection_base.h
@@ -49,7 +49,8 @@
     /** Gives when the last exchange ended. */
     instant idle_since() const { return m_idle_since; }
 
-    /** Gives the time without traffic after which the server closes it; the greatest duration where unknown. */
+    /** Gives the time without traffic after which the server closes it; the greatest duration where unknown.
+     */
     duration server_idle_limit() const { return m_server_idle_limit; }
 
     /** Closes at once, without a word to the handlers. */
--- a/src/http/connect_probe.cpp
+++ b/src/http/connect_probe.cpp
@@ -6,8 +6,7 @@
 /** The try in progress. */
 struct connect_probe::state {
     state(event_loop& loop, handler on_end)
-        : m_on_end(std::move(on_end)),
-          m_watch(loop, [this](int) { end(connect_succeeded(m_socket.get())); }),
+        : m_on_end(std::move(on_end)), m_watch(loop, [this](int) { end(connect_succeeded(m_socket.get())); }),
           m_timer(loop, [this] { end(false); })
     {
     }
--- a/src/http/connect_probe_base.h
+++ b/src/http/connect_probe_base.h
@@ -10,7 +10,8 @@
 
 namespace waxwing {
 
-/** Opens one connection and closes it at once; no request is sent. Thread safety: for the loop's thread only. */
+/** Opens one connection and closes it at once; no request is sent. Thread safety: for the loop's thread only.
+ */
 class connect_probe {
 public:
     using handler = std::function<void(bool accepts)>;
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -29,7 +29,8 @@
     {
         const exchange_id id = request.m_exchange;
         const instant deadline = event_loop::now() + request.m_timeout;
-        pending& made = m_pending.insert_or_assign(id, pending{std::move(request), nullptr, deadline}).first->second;
+        pending& made =
+            m_pending.insert_or_assign(id, pending{std::move(request), nullptr, deadline}).first->second;
         set_time(deadline, id);
         if (!place(made)) {
             m_waiting.push_back(id);
@@ -228,10 +229,11 @@
                 continue;
             }
             pending& current = position->second;
-            const bool unconnected =
-                current.m_connection != nullptr && current.m_connect_until <= now && !current.m_connection->has_sent();
+            const bool unconnected = current.m_connection != nullptr && current.m_connect_until <= now &&
+                                     !current.m_connection->has_sent();
             if (current.m_deadline <= now || unconnected) {
-                give_up(id, http_failure_kind::timeout, unconnected ? "not connected in time" : "no answer in time");
+                give_up(id, http_failure_kind::timeout,
+                        unconnected ? "not connected in time" : "no answer in time");
             }
         }
         while (!m_idle.empty() && m_idle.front()->idle_since() + idle_limit(*m_idle.front()) <= now) {
@@ -247,9 +249,9 @@
     std::vector<std::unique_ptr<client_connection>> m_closed; ///< To be destroyed.
     std::deque<client_connection*> m_idle;                    ///< Longest idle first.
     std::unordered_map<exchange_id, pending> m_pending;
-    std::deque<exchange_id> m_waiting;                  ///< Requests without a connection, oldest first.
-    std::set<std::pair<instant, exchange_id>> m_times;  ///< When on_timer is to look at which request.
-    instant m_due{};                                    ///< For when the timer is set.
+    std::deque<exchange_id> m_waiting;                 ///< Requests without a connection, oldest first.
+    std::set<std::pair<instant, exchange_id>> m_times; ///< When on_timer is to look at which request.
+    instant m_due{};                                   ///< For when the timer is set.
     wakeup m_reaper;
     timer m_timer;
 };
--- a/src/http/http_client_base.h
+++ b/src/http/http_client_base.h
@@ -14,11 +14,12 @@
 
 /** Settings of one HTTP client. */
 struct http_client_settings {
-    std::size_t m_connection_limit = 64; ///< Open connections at once, idle ones included; further sends wait.
+    std::size_t m_connection_limit =
+        64; ///< Open connections at once, idle ones included; further sends wait.
     std::size_t m_body_limit = 16 * 1024 * 1024;          ///< Longest answer body, in bytes.
     duration m_connect_timeout = std::chrono::seconds(1); ///< Longest wait for a connection.
-    duration m_idle_limit =
-        std::chrono::seconds(20); ///< A connection idle for longer is closed; the server's Keep-Alive may be less.
+    duration m_idle_limit = std::chrono::seconds(
+        20); ///< A connection idle for longer is closed; the server's Keep-Alive may be less.
 };
 
 /** One request to send. It goes out at most once: a connection that breaks is never tried again in secret. */
@@ -30,8 +31,10 @@
     header_list m_headers;  ///< Fields beside Content-Length; Host where it differs from the address.
     std::string m_body;     ///< The whole body.
     duration m_timeout{};   ///< Longest time until the whole answer.
-    std::string m_echo = {};   ///< Field that the answer repeats; an answer with another value is not this one's.
-    bool m_repeatable = true;  ///< Otherwise only a connection used a moment ago, or a new one, is good enough.
+    std::string m_echo =
+        {}; ///< Field that the answer repeats; an answer with another value is not this one's.
+    bool m_repeatable =
+        true; ///< Otherwise only a connection used a moment ago, or a new one, is good enough.
 };
 
 /** A whole answer came. */
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -29,7 +29,9 @@
                 m_events.post(http_gone{id});
             }
         };
-        m_shared.m_on_idle = [this](server_connection& connection, bool idle) { note_idle(connection, idle); };
+        m_shared.m_on_idle = [this](server_connection& connection, bool idle) {
+            note_idle(connection, idle);
+        };
         m_shared.m_on_closed = [this](server_connection& connection) { retire(connection); };
     }
 
@@ -62,11 +64,8 @@
 
     void drain() override
     {
+        // An idle connection stays open: its client may be sending a request just now.
         m_shared.m_draining = true;
-        const std::list<server_connection*> idle = m_idle;
-        for (server_connection* const connection : idle) {
-            connection->drain();
-        }
     }
 
     void stop_listening() override
--- a/src/http/http_server_base.h
+++ b/src/http/http_server_base.h
@@ -15,10 +15,10 @@
 
 /** Settings of one HTTP server. */
 struct http_server_settings {
-    endpoint m_address;                                 ///< Where to listen; port 0 lets the system choose.
-    std::size_t m_header_limit = 64 * 1024;             ///< Longest request line and header, in bytes.
-    std::size_t m_body_limit = 1024 * 1024;             ///< Longest request body, in bytes.
-    unsigned m_connection_limit = 1000;                 ///< Open connections at once; see http_server.
+    endpoint m_address;                     ///< Where to listen; port 0 lets the system choose.
+    std::size_t m_header_limit = 64 * 1024; ///< Longest request line and header, in bytes.
+    std::size_t m_body_limit = 1024 * 1024; ///< Longest request body, in bytes.
+    unsigned m_connection_limit = 1000;     ///< Open connections at once; see http_server.
     duration m_request_timeout = std::chrono::seconds(10); ///< Longest time to receive one request.
     duration m_idle_timeout = std::chrono::seconds(30); ///< Connections without traffic are closed after it.
 };
@@ -53,9 +53,9 @@
 
 /**
  * An HTTP/1.1 server that owns its socket. Pipelined requests are handed over as they come, and their replies
- * go out in the order of the requests. At the limit of connections the one that has been idle for longest makes
- * room; where none is idle, a new one is marked as surplus, so that its request can be refused by a reply.
- * Thread safety: for the loop's thread only.
+ * go out in the order of the requests. At the limit of connections the one that has been idle for longest
+ * makes room; where none is idle, a new one is marked as surplus, so that its request can be refused by a
+ * reply. Thread safety: for the loop's thread only.
  */
 class http_server {
 public:
@@ -81,7 +81,7 @@
     /** Takes new bounds into force; the address stays. */
     virtual void configure(const http_server_settings& settings) = 0;
 
-    /** Closes each connection after the reply to the last request that has come on it. */
+    /** Closes each connection after its next reply, unless a further request has come on it by then. */
     virtual void drain() = 0;
 
     /** Takes no new connections; exchanges in progress go on. */
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -15,9 +15,9 @@
 
 namespace beast_http = boost::beast::http;
 
-constexpr std::size_t read_size = 64 * 1024;        ///< Bytes that one read takes at most.
-constexpr int read_rounds = 4;                      ///< Reads in a row, so that other connections get their turn.
-constexpr std::size_t pipeline_limit = 64;          ///< Requests that wait for their replies on one connection.
+constexpr std::size_t read_size = 64 * 1024; ///< Bytes that one read takes at most.
+constexpr int read_rounds = 4;               ///< Reads in a row, so that other connections get their turn.
+constexpr std::size_t pipeline_limit = 64;   ///< Requests that wait for their replies on one connection.
 constexpr std::size_t output_limit = 4 * 1024 * 1024; ///< Bytes to be sent above which nothing more is read.
 constexpr duration linger_limit = std::chrono::milliseconds(500); ///< Wait for the client to close first.
 constexpr unsigned first_status = 100;
@@ -229,7 +229,8 @@
     m_out.append(reason.data(), reason.size());
     m_out += "\r\n";
     for (const header& field : reply.m_headers) {
-        if (!is_framing_field(field.m_name) && !breaks_header(field.m_name) && !breaks_header(field.m_value)) {
+        if (!is_framing_field(field.m_name) && !breaks_header(field.m_name) &&
+            !breaks_header(field.m_value)) {
             m_out += field.m_name + ": " + field.m_value + "\r\n";
         }
     }
@@ -282,13 +283,6 @@
     m_timer.set(linger_limit);
 }
 
-void server_connection::drain()
-{
-    if (is_idle()) {
-        close();
-    }
-}
-
 void server_connection::close()
 {
     if (m_phase == phase::closed) {
--- a/src/http/server_connection_base.h
+++ b/src/http/server_connection_base.h
@@ -47,9 +47,6 @@
     /** Closes at once; pending exchanges end as gone. */
     void close();
 
-    /** Closes where nothing is pending; else after the last reply. */
-    void drain();
-
     /** Tells whether it waits for a request. */
     bool is_idle() const;
 
@@ -69,8 +66,8 @@
     /** One request and its reply. */
     struct exchange {
         exchange_id m_id;
-        bool m_head = false;              ///< Whether the method is HEAD: the reply has no body.
-        bool m_last = false;              ///< Whether the connection closes after it.
+        bool m_head = false;               ///< Whether the method is HEAD: the reply has no body.
+        bool m_last = false;               ///< Whether the connection closes after it.
         std::optional<http_reply> m_reply; ///< Waits for earlier ones.
     };
 
--- a/src/link/connection_base.h
+++ b/src/link/connection_base.h
@@ -7,8 +7,8 @@
 #include "link/handshake_base.h"
 #include "link/link_base.h"
 #include "link/liveness_base.h"
-#include "loop/loop.h"
 #include "link/websocket_base.h"
+#include "loop/loop.h"
 
 #include <deque>
 #include <memory>
--- a/src/loop/socket_func.h
+++ b/src/loop/socket_func.h
@@ -74,7 +74,8 @@
     endpoint m_peer;     ///< The other side.
 };
 
-/** Accepts a connection; the error is `unavailable` where none waits, `exhausted` where the process has no room. */
+/** Accepts a connection; the error is `unavailable` where none waits, `exhausted` where the process has no
+ * room. */
 result<accepted_connection> accept_connection(int listener, socket_use use = socket_use::link);
 
 } // namespace waxwing
--- a/src/member/member.h
+++ b/src/member/member.h
@@ -2,8 +2,8 @@
 #ifndef WAXWING_MEMBER_MEMBER_H
 #define WAXWING_MEMBER_MEMBER_H
 
-#include "member/member_type.h"
 #include "member/announcement_type.h"
+#include "member/member_type.h"
 #include "member/membership_base.h"
 
 #endif
--- a/src/node/call_task.cpp
+++ b/src/node/call_task.cpp
@@ -46,8 +46,8 @@
 
 call_task::call_task(event_loop& loop, const node_settings& settings, const request_dialect& dialect,
                      incarnation life, std::uint64_t seed, metrics& counted, handler on_output)
-    : m_loop(loop), m_settings(settings), m_dialect(dialect), m_metrics(counted), m_on_output(std::move(on_output)),
-      m_entry(to_entry_settings(settings, dialect), m_running, seed),
+    : m_loop(loop), m_settings(settings), m_dialect(dialect), m_metrics(counted),
+      m_on_output(std::move(on_output)), m_entry(to_entry_settings(settings, dialect), m_running, seed),
       m_runner(to_runner_settings(settings, dialect, life), m_running),
       m_commands(loop, [this](call_command&& command) { on_command(std::move(command)); }),
       m_timer(loop, [this] { on_time(); })
@@ -57,7 +57,8 @@
 
 result<void> call_task::listen()
 {
-    auto opened = http_server::open(m_loop, door_settings(), [this](http_server_event&& event) { on_http(std::move(event)); });
+    auto opened = http_server::open(m_loop, door_settings(),
+                                    [this](http_server_event&& event) { on_http(std::move(event)); });
     if (opened.has_error()) {
         return opened.error();
     }
@@ -114,8 +115,8 @@
 {
     const instant now = event_loop::now();
     if (auto* const received = std::get_if<http_request>(&event)) {
-        const bool local =
-            m_settings.m_sub_calls == sub_call_sign::request_id && received->m_peer == m_settings.m_callers.m_host;
+        const bool local = m_settings.m_sub_calls == sub_call_sign::request_id &&
+                           received->m_peer == m_settings.m_callers.m_host;
         m_entry.arrive(now, to_entry_request(std::move(*received), local), m_entry_actions);
     }
     else {
@@ -127,39 +128,39 @@
 void call_task::on_command(call_command&& command)
 {
     const instant now = event_loop::now();
-    std::visit(
-        overloaded{
-            [&](calls_configure& given) {
-                m_revision = given.m_revision;
-                bound_callers(given.m_set->m_caller_limits);
-                m_entry.configure(given.m_set);
-                m_runner.configure(given.m_set);
-            },
-            [&](calls_put_target& given) { m_entry.put_target(now, given.m_target); },
-            [&](calls_remove_target& given) { m_entry.remove_target(given.m_node); },
-            [&](calls_set_target& given) {
-                m_runner.set_target(given.m_service, given.m_slots, std::move(given.m_instance));
-            },
-            [&](calls_gate& given) {
-                if (given.m_open) {
-                    m_runner.reopen();
-                }
-                else {
-                    m_runner.close(given.m_why, m_runner_actions);
-                }
-            },
-            [&](run_answered& given) {
-                m_runner.target_answered(now, given.m_attempt, std::move(given.m_answer), m_runner_actions);
-            },
-            [&](run_failed& given) {
-                m_runner.target_failed(now, given.m_attempt, given.m_failure, m_runner_actions);
-            },
-            [&](probe_ended& given) { m_runner.on_probe(now, given.m_accepts, m_runner_actions); },
-            [&](limit_hinted& given) { m_runner.hint(now, given.m_slots); },
-            [&](suspects_heard& given) { m_runner.on_quarantine(now, given.m_records); },
-            [&](link_event& given) { on_link(std::move(given)); },
-        },
-        command);
+    std::visit(overloaded{
+                   [&](calls_configure& given) {
+                       m_revision = given.m_revision;
+                       bound_callers(given.m_set->m_caller_limits);
+                       m_entry.configure(given.m_set);
+                       m_runner.configure(given.m_set);
+                   },
+                   [&](calls_put_target& given) { m_entry.put_target(now, given.m_target); },
+                   [&](calls_remove_target& given) { m_entry.remove_target(given.m_node); },
+                   [&](calls_set_target& given) {
+                       m_runner.set_target(given.m_service, given.m_slots, std::move(given.m_instance));
+                   },
+                   [&](calls_gate& given) {
+                       if (given.m_open) {
+                           m_runner.reopen();
+                       }
+                       else {
+                           m_runner.close(given.m_why, m_runner_actions);
+                       }
+                   },
+                   [&](run_answered& given) {
+                       m_runner.target_answered(now, given.m_attempt, std::move(given.m_answer),
+                                                m_runner_actions);
+                   },
+                   [&](run_failed& given) {
+                       m_runner.target_failed(now, given.m_attempt, given.m_failure, m_runner_actions);
+                   },
+                   [&](probe_ended& given) { m_runner.on_probe(now, given.m_accepts, m_runner_actions); },
+                   [&](limit_hinted& given) { m_runner.hint(now, given.m_slots); },
+                   [&](suspects_heard& given) { m_runner.on_quarantine(now, given.m_records); },
+                   [&](link_event& given) { on_link(std::move(given)); },
+               },
+               command);
     settle();
 }
 
--- a/src/node/call_task_base.h
+++ b/src/node/call_task_base.h
@@ -30,8 +30,8 @@
      * @param counted gets the metrics; outlives the task.
      * @param on_output gets what the task asks for.
      */
-    call_task(event_loop& loop, const node_settings& settings, const request_dialect& dialect, incarnation life,
-              std::uint64_t seed, metrics& counted, handler on_output);
+    call_task(event_loop& loop, const node_settings& settings, const request_dialect& dialect,
+              incarnation life, std::uint64_t seed, metrics& counted, handler on_output);
 
     /** Opens the callers' door. */
     result<void> listen();
--- a/src/node/control_task.cpp
+++ b/src/node/control_task.cpp
@@ -31,9 +31,7 @@
                            std::uint64_t seed, handler on_output)
     : m_loop(loop), m_settings(settings), m_on_output(std::move(on_output)),
       m_members(member_settings{}, to_member_record(settings, life), seed),
-      m_spread(spread_settings{}, seed + 1),
-      m_storage(kept),
-      m_timer(loop, [this] { on_time(); })
+      m_spread(spread_settings{}, seed + 1), m_storage(kept), m_timer(loop, [this] { on_time(); })
 {
 }
 
@@ -178,22 +176,22 @@
                             std::vector<std::pair<std::string, std::string>> found)
 {
     m_storage.list(prefix, after, page_size,
-                     [this, prefix, found = std::move(found)](const result<table_page>& page) mutable {
-                         if (page.has_error()) {
-                             note_platform(false, page.error().m_text);
-                             return;
-                         }
-                         for (const table_row& row : page.value().m_rows) {
-                             found.emplace_back(row.m_key, row.m_value);
-                         }
-                         if (page.value().m_more && found.size() < discover_limit) {
-                             const std::string last = found.back().first;
-                             discover(prefix, last, std::move(found));
-                             return;
-                         }
-                         m_members.seed(event_loop::now(), found, m_member_actions);
-                         settle();
-                     });
+                   [this, prefix, found = std::move(found)](const result<table_page>& page) mutable {
+                       if (page.has_error()) {
+                           note_platform(false, page.error().m_text);
+                           return;
+                       }
+                       for (const table_row& row : page.value().m_rows) {
+                           found.emplace_back(row.m_key, row.m_value);
+                       }
+                       if (page.value().m_more && found.size() < discover_limit) {
+                           const std::string last = found.back().first;
+                           discover(prefix, last, std::move(found));
+                           return;
+                       }
+                       m_members.seed(event_loop::now(), found, m_member_actions);
+                       settle();
+                   });
 }
 
 void control_task::note_platform(bool works, const std::string& reason)
--- a/src/node/door.cpp
+++ b/src/node/door.cpp
@@ -71,10 +71,14 @@
 
 entry_request to_entry_request(http_request&& received, bool local)
 {
-    return entry_request{received.m_exchange,        std::move(received.m_method),
-                         std::move(received.m_path), std::move(received.m_headers),
-                         std::move(received.m_body), received.m_oversize,
-                         local,                      received.m_surplus};
+    return entry_request{received.m_exchange,
+                         std::move(received.m_method),
+                         std::move(received.m_path),
+                         std::move(received.m_headers),
+                         std::move(received.m_body),
+                         received.m_oversize,
+                         local,
+                         received.m_surplus};
 }
 
 http_reply to_http_reply(entry_reply&& given, const request_dialect& dialect)
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -12,10 +12,12 @@
 namespace {
 
 constexpr duration drain_check_interval = std::chrono::milliseconds(50);
-constexpr duration least_drain_time = std::chrono::seconds(3);     ///< Peers have heard of the drain by then.
+constexpr duration least_drain_time = std::chrono::seconds(3); ///< Peers have heard of the drain by then.
 constexpr duration caller_drain_time = std::chrono::milliseconds(2500); ///< Callers have turned away by then.
-constexpr duration stop_margin = std::chrono::milliseconds(400); ///< The stop ends this much before its limit.
-constexpr duration peers_wait = std::chrono::seconds(3); ///< A node that finds no other takes callers after it.
+constexpr duration stop_margin =
+    std::chrono::milliseconds(400); ///< The stop ends this much before its limit.
+constexpr duration peers_wait =
+    std::chrono::seconds(3); ///< A node that finds no other takes callers after it.
 constexpr duration farewell_time = std::chrono::milliseconds(300); ///< Last messages are sent within it.
 constexpr std::size_t greeter_count = 3; ///< Nodes that tell a new one of requests that crash targets.
 constexpr duration overload_interval = std::chrono::seconds(1);
@@ -76,8 +78,8 @@
     return node_charts{std::move(node_chart), std::move(target_chart)};
 }
 
-node::node(event_loop& loop, node_settings settings, const node_surroundings& surroundings, node_charts charts,
-           incarnation life, std::uint64_t seed)
+node::node(event_loop& loop, node_settings settings, const node_surroundings& surroundings,
+           node_charts charts, incarnation life, std::uint64_t seed)
     : m_loop(loop), m_settings(std::move(settings)), m_charts(std::move(charts)), m_life(m_charts.m_node),
       m_calls(loop, m_settings, surroundings.m_dialect, life, seed, m_metrics,
               [this](call_output&& output) { on_call_output(std::move(output)); }),
@@ -88,9 +90,9 @@
       m_peers(loop, [this](link_event&& event) { on_link_event(std::move(event)); }),
       m_operators(loop, m_settings, node_tasks{m_calls, m_target, m_control, m_peers, m_metrics, m_life},
                   seed + 200),
-      m_drain_timer(loop, [this] { check_drained(); }), m_refuse_timer(loop, [this] { m_calls.refuse_callers(); }),
-      m_exit_timer(loop, [this] { m_loop.stop(); }),
-      m_overload_timer(loop, [this] { check_overload(); })
+      m_drain_timer(loop, [this] { check_drained(); }),
+      m_refuse_timer(loop, [this] { m_calls.refuse_callers(); }),
+      m_exit_timer(loop, [this] { m_loop.stop(); }), m_overload_timer(loop, [this] { check_overload(); })
 {
 }
 
@@ -112,19 +114,18 @@
 
 void node::on_call_output(call_output&& output)
 {
-    std::visit(
-        overloaded{
-            [&](peer_send& sent) { m_peers.send(sent.m_peer, std::move(sent.m_message)); },
-            [&](runner_run& wanted) { m_target.run(std::move(wanted)); },
-            [&](runner_abort& wanted) { m_target.abort(wanted.m_attempt); },
-            [&](runner_probe&) { m_target.probe(); },
-            [&](runner_spread& told) { spread_suspects(told.m_payload); },
-            [&](runner_crash& told) {
-                log_event(event::target_crashed, {{"running", std::to_string(told.m_running)}});
-                m_metrics.count("waxwing_target_crashes_total", {});
-            },
-        },
-        output);
+    std::visit(overloaded{
+                   [&](peer_send& sent) { m_peers.send(sent.m_peer, std::move(sent.m_message)); },
+                   [&](runner_run& wanted) { m_target.run(std::move(wanted)); },
+                   [&](runner_abort& wanted) { m_target.abort(wanted.m_attempt); },
+                   [&](runner_probe&) { m_target.probe(); },
+                   [&](runner_spread& told) { spread_suspects(told.m_payload); },
+                   [&](runner_crash& told) {
+                       log_event(event::target_crashed, {{"running", std::to_string(told.m_running)}});
+                       m_metrics.count("waxwing_target_crashes_total", {});
+                   },
+               },
+               output);
 }
 
 void node::on_target_output(target_output&& output)
--- a/src/node/operators_task.cpp
+++ b/src/node/operators_task.cpp
@@ -91,8 +91,7 @@
 
 operators_task::operators_task(event_loop& loop, const node_settings& settings, node_tasks tasks,
                                std::uint64_t seed)
-    : m_loop(loop), m_settings(settings), m_tasks(tasks),
-      m_publications(loop, tasks.m_control.store(), seed)
+    : m_loop(loop), m_settings(settings), m_tasks(tasks), m_publications(loop, tasks.m_control.store(), seed)
 {
 }
 
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -17,7 +17,7 @@
 constexpr name_table<2> log_format_names{"text", "json"};
 constexpr name_table<2> configuration_source_names{"published", "platform"};
 constexpr name_table<2> sub_call_sign_names{"context", "request-id"};
-constexpr std::uint32_t callers_part = 2; ///< Callers may have one in so many of the descriptors.
+constexpr std::uint32_t callers_part = 2;          ///< Callers may have one in so many of the descriptors.
 constexpr std::size_t settings_limit = 256 * 1024; ///< Bytes.
 
 /** Reads all of @p text as a number. */
--- a/src/node/settings_func.h
+++ b/src/node/settings_func.h
@@ -19,7 +19,7 @@
 
 /** How a node knows the sub-calls of its target. */
 enum class sub_call_sign {
-    context, ///< They carry the context of the call that makes them.
+    context,   ///< They carry the context of the call that makes them.
     request_id ///< They come from this machine, and their ids extend that of the call that makes them.
 };
 
--- a/src/node/target_task.cpp
+++ b/src/node/target_task.cpp
@@ -14,8 +14,9 @@
 constexpr duration slow_probe_interval = std::chrono::seconds(1);         ///< While it is ready.
 constexpr std::uint16_t first_error_status = 400;
 constexpr duration least_run_time = std::chrono::milliseconds(1);
-constexpr duration connect_timeout = std::chrono::seconds(1); ///< A target on the same machine answers in a few ms.
-constexpr duration idle_limit = std::chrono::seconds(8);      ///< Targets commonly close after 10 s or more.
+constexpr duration connect_timeout =
+    std::chrono::seconds(1); ///< A target on the same machine answers in a few ms.
+constexpr duration idle_limit = std::chrono::seconds(8); ///< Targets commonly close after 10 s or more.
 constexpr std::size_t useful_connections = 2; ///< Per slot: one in use, one that is being closed or opened.
 constexpr std::size_t spare_connections = 8;  ///< Beside those, for targets with few slots.
 
--- a/src/node/target_task_base.h
+++ b/src/node/target_task_base.h
@@ -75,11 +75,11 @@
     chart_life m_life;
     target_announcement m_target;
     announcement_order m_order;
-    bool m_speaks = false;           ///< Whether the target itself tells when it is ready, so that no probe need.
+    bool m_speaks = false; ///< Whether the target itself tells when it is ready, so that no probe need.
     std::uint32_t m_connections = 0; ///< By the configuration; 0 is what the target says.
     std::string m_health_path;
     std::string m_load_path;
-    std::unique_ptr<http_client> m_client;       ///< For calls.
+    std::unique_ptr<http_client> m_client;               ///< For calls.
     std::vector<std::unique_ptr<http_client>> m_retired; ///< Of earlier lives, with calls in progress.
     connect_probe m_connect_probe;
     std::unique_ptr<http_client> m_probe_client; ///< For probes, so that they never wait behind calls.
--- a/src/waxwingd/main.cpp
+++ b/src/waxwingd/main.cpp
@@ -83,8 +83,8 @@
     gateway_handlers handlers;
     handlers.m_on_announcement = [&served](const target_announcement& said) { served.announce(said); };
     handlers.m_is_ready = [&served] { return served.ready().m_ready; };
-    auto opened = gateway::open(
-        loop, {settings.m_registry, settings.m_readiness, settings.m_service}, std::move(handlers));
+    auto opened = gateway::open(loop, {settings.m_registry, settings.m_readiness, settings.m_service},
+                                std::move(handlers));
     if (started.has_value() && opened.has_error()) {
         started = opened.error();
     }
--- a/test/headers_test.cpp
+++ b/test/headers_test.cpp
@@ -9,9 +9,9 @@
 #include "loop/loop.h"
 #include "member/member.h"
 #include "metrics/metrics.h"
-#include "once/once.h"
 #include "platform/platform.h"
 #include "policy/policy.h"
+#include "storage/storage.h"
 
 #include <criterion/criterion.h>
 
--- a/test/link_raw_peer.h
+++ b/test/link_raw_peer.h
@@ -4,7 +4,6 @@
 
 #include "link/handshake_base.h"
 #include "loop/loop.h"
-#include "loop/loop.h"
 
 #include <cerrno>
 #include <criterion/criterion.h>
--- a/tools/lab.py
+++ b/tools/lab.py
@@ -127,7 +127,7 @@
             f"[listen]\ncallers = {HOST}:{instance.callers}\nlinks = {HOST}:{instance.links}\n"
             f"gossip = {HOST}:{instance.gossip}\noperators = {HOST}:{instance.operators}\n"
             f"caller_connections = 4000\n"
-            f"[platform]\ntable = {HOST}:{self.platform_port}\nobjects = {HOST}:{self.platform_port}\n"
+            f"[platform]\nstore = {HOST}:{self.platform_port}\n"
             f"[security]\nshared_key = {SHARED_KEY}\noperator_token = {OPERATOR_TOKEN}\n"
             f"[target]\nservice = {instance.service}\n")
         instance.node_process = self.spawn(f"node-{instance.name}", BUILD / "waxwingd", f"--settings={path}")
