Add: settings change while a node runs; events go to standard output and never block

Cause: SIGHUP ended the process (code 129), and a settings file that changed without a signal was never read. Events went through a buffered stream, so a line could come minutes later or block the loop on a full pipe. Events are written line by line while the output takes them; dropped lines are counted.

--- a/src/events/event_type.h
+++ b/src/events/event_type.h
@@ -14,6 +14,7 @@
     settings_refused,
     listen_failed,
     chart_refused,
+    settings_reloaded,
     link_peer_up,
     link_peer_down,
     target_announced,
--- a/src/events/events.cpp
+++ b/src/events/events.cpp
@@ -6,6 +6,11 @@
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
+#include <poll.h>
+#include <unistd.h>
+
+#include <cstdint>
+
 namespace waxwing {
 
 namespace {
@@ -36,14 +41,50 @@
     return line.dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
 }
 
+/** Writes lines to standard output as long as it takes them; what it does not take is dropped and counted. */
+class output_sink final : public google::LogSink {
+public:
+    void send(google::LogSeverity level, const char* /*full_name*/, const char* file, int line,
+              const google::LogMessageTime& time, const char* message, std::size_t length) override
+    {
+        std::string text;
+        if (chosen_format == log_format::text) {
+            text = ToString(level, file, line, time, message, length) + "\n";
+        }
+        else {
+            text.assign(message, length);
+            text += '\n';
+        }
+        pollfd output{STDOUT_FILENO, POLLOUT, 0};
+        const bool takes = poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+        if (!takes || write(STDOUT_FILENO, text.data(), text.size()) < 0) {
+            ++m_dropped;
+            return;
+        }
+        if (m_dropped > 0) {
+            const std::string told =
+                "{\"name\":\"log-dropped\",\"lines\":" + std::to_string(m_dropped) + "}\n";
+            m_dropped = write(STDOUT_FILENO, told.data(), told.size()) < 0 ? m_dropped : 0;
+        }
+    }
+
+private:
+    std::uint64_t m_dropped = 0; ///< Lines since the last one that was taken.
+};
+
 } // namespace
 
 void start_log(const std::string& program, log_format format)
 {
+    static output_sink sink;
     chosen_format = format;
-    FLAGS_logtostdout = true;
-    FLAGS_log_prefix = format == log_format::text;
+    for (const google::LogSeverity level :
+         {google::GLOG_INFO, google::GLOG_WARNING, google::GLOG_ERROR, google::GLOG_FATAL}) {
+        google::SetLogDestination(level, "");
+    }
+    FLAGS_stderrthreshold = google::GLOG_FATAL;
     google::InitGoogleLogging(program.c_str());
+    google::AddLogSink(&sink);
 }
 
 void log_event(event id, std::initializer_list<event_field> fields)
--- a/src/node/call_task.cpp
+++ b/src/node/call_task.cpp
@@ -91,14 +91,15 @@
     return released;
 }
 
-/** Gives the callers' door its bounds from the configuration. */
-void call_task::bound_callers(const caller_limits& limits)
+void call_task::bound_callers()
 {
     http_server_settings bounds = door_settings();
-    bounds.m_header_limit = limits.m_header_bytes;
-    bounds.m_body_limit = limits.m_body_bytes;
-    bounds.m_request_timeout = limits.m_request_time;
-    bounds.m_idle_timeout = limits.m_idle_time;
+    if (m_limits.has_value()) {
+        bounds.m_header_limit = m_limits->m_header_bytes;
+        bounds.m_body_limit = m_limits->m_body_bytes;
+        bounds.m_request_timeout = m_limits->m_request_time;
+        bounds.m_idle_timeout = m_limits->m_idle_time;
+    }
     m_door->configure(bounds);
 }
 
@@ -131,7 +132,8 @@
     std::visit(overloaded{
                    [&](calls_configure& given) {
                        m_revision = given.m_revision;
-                       bound_callers(given.m_set->m_caller_limits);
+                       m_limits = given.m_set->m_caller_limits;
+                       bound_callers();
                        m_entry.configure(given.m_set);
                        m_runner.configure(given.m_set);
                    },
--- a/src/node/call_task_base.h
+++ b/src/node/call_task_base.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace waxwing {
@@ -46,6 +47,9 @@
     /** Sends the task @p command. */
     void post(call_command command) { m_commands.post(std::move(command)); }
 
+    /** Gives the callers' door its bounds from the settings and the configuration in force. */
+    void bound_callers();
+
     /** Releases the request that logs call @p name. @return whether there is one. */
     bool release(const std::string& name);
 
@@ -61,7 +65,6 @@
 private:
     void on_command(call_command&& command);
     void on_http(http_server_event&& event);
-    void bound_callers(const caller_limits& limits);
     http_server_settings door_settings() const;
     void on_link(link_event&& event);
     void on_message(const node_id& peer, link_message&& message);
@@ -89,7 +92,8 @@
     std::unique_ptr<http_server> m_door;
     request_sampler m_entry_log{sampler_settings{}};
     request_sampler m_run_log{sampler_settings{}};
-    revision m_revision; ///< In force, for the log.
+    revision m_revision;                   ///< In force, for the log.
+    std::optional<caller_limits> m_limits; ///< Of the configuration; none where none is in force.
 };
 
 } // namespace waxwing
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -280,6 +280,15 @@
     }
 }
 
+settings_change node::apply(const node_settings& wanted)
+{
+    const settings_change done = apply_settings(wanted, m_settings);
+    if (done.m_applied) {
+        m_calls.bound_callers();
+    }
+    return done;
+}
+
 readiness node::ready() const
 {
     if (m_life.state() != "serving") {
--- a/src/node/node_base.h
+++ b/src/node/node_base.h
@@ -53,6 +53,9 @@
     /** Takes in what the target beside the node says of itself. */
     void announce(const target_announcement& said) { m_target.announce(said); }
 
+    /** Takes changed settings into force as far as a running node can. */
+    settings_change apply(const node_settings& wanted);
+
     /** Tells whether callers may be sent here, and why not. */
     readiness ready() const;
 
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -243,6 +243,19 @@
 
 } // namespace
 
+settings_change apply_settings(const node_settings& wanted, node_settings& in_force)
+{
+    node_settings changed = in_force;
+    changed.m_stop_limit = wanted.m_stop_limit;
+    changed.m_operator_token = wanted.m_operator_token;
+    changed.m_body_limit = wanted.m_body_limit;
+    changed.m_descriptors = wanted.m_descriptors;
+    changed.m_caller_connections = wanted.m_caller_connections;
+    const settings_change done{changed != in_force, changed != wanted};
+    in_force = std::move(changed);
+    return done;
+}
+
 result<node_settings, located_errors> read_settings(const std::string& file, const std::string& text)
 {
     reading state;
--- a/src/node/settings_func.h
+++ b/src/node/settings_func.h
@@ -55,8 +55,23 @@
     std::string m_operator_token; ///< Proves that an operator may change things; empty refuses all changes.
 
     log_format m_log_format = log_format::text; ///< How events are written.
+
+    friend bool operator==(const node_settings&, const node_settings&) = default;
+};
+
+/** What a change of the settings of a running node did. */
+struct settings_change {
+    bool m_applied = false;       ///< Whether any value is in force that was not before.
+    bool m_needs_restart = false; ///< Whether any changed value waits for a restart.
 };
 
+/**
+ * Takes from @p wanted the values that a running node can take into force: the limit of a stop, the
+ * operators' token, and the bounds of the callers' door. All others stay as they are in @p in_force. Thread
+ * safety: pure.
+ */
+settings_change apply_settings(const node_settings& wanted, node_settings& in_force);
+
 /** Reads and checks settings. @return them, or every error with file and line. Thread safety: pure. */
 result<node_settings, located_errors> read_settings(const std::string& file, const std::string& text);
 
--- a/src/waxwingd/main.cpp
+++ b/src/waxwingd/main.cpp
@@ -17,6 +17,7 @@
 
 constexpr int settings_refused_status = 2;
 constexpr int start_failed_status = 1;
+constexpr duration settings_poll_interval = std::chrono::seconds(5); ///< One small file, read in some 20 us.
 
 constexpr const char* usage = R"(waxwingd - the node beside one target
 
@@ -31,6 +32,9 @@
   -h --help        Show this text.
   --version        Show the version.
 
+The settings file may change while the node runs, with SIGHUP or without. What a running node can't take waits for a
+restart; a file with errors changes nothing.
+
 Exit status: 0 after a planned stop or a good check, 1 where the node can't start, 2 where the settings are wrong.
 )";
 
@@ -42,30 +46,70 @@
     }
 }
 
-/** Reads the settings in @p path; errors are printed. */
-std::optional<node_settings> load_settings(const std::string& path)
+/** Reads the text of @p path; none where it can't be opened. */
+std::optional<std::string> read_text(const std::string& path)
 {
     std::ifstream stream(path, std::ios::binary);
     if (!stream) {
-        print_errors({{path, 0, "can't be opened"}});
         return std::nullopt;
     }
     std::ostringstream text;
     text << stream.rdbuf();
-    result<node_settings, located_errors> read = read_settings(path, std::move(text).str());
-    if (read.has_error()) {
-        print_errors(read.error());
-        return std::nullopt;
+    return std::move(text).str();
+}
+
+/** Reads the settings in @p text, which came from @p path. */
+result<node_settings, located_errors> parse_settings(const std::string& path,
+                                                     const std::optional<std::string>& text)
+{
+    if (!text.has_value()) {
+        return located_errors{{path, 0, "can't be opened"}};
     }
-    node_settings settings = std::move(read).value();
-    if (settings.m_charts.empty()) {
-        settings.m_charts = WAXWING_CHARTS;
+    result<node_settings, located_errors> read = read_settings(path, *text);
+    if (read.has_value() && read.value().m_charts.empty()) {
+        read.value().m_charts = WAXWING_CHARTS;
     }
-    return settings;
+    return read;
 }
 
+/** Looks for changes of the settings file, on a signal and now and then, since it may change without one. */
+class settings_watch {
+public:
+    settings_watch(event_loop& loop, node& served, std::string path)
+        : m_served(served), m_path(std::move(path)), m_text(read_text(m_path)),
+          m_timer(loop, [this] { look(); })
+    {
+        m_timer.set(settings_poll_interval);
+    }
+
+    /** Takes the file into force where it has changed; one that is wrong leaves the last good settings. */
+    void look()
+    {
+        m_timer.set(settings_poll_interval);
+        std::optional<std::string> text = read_text(m_path);
+        if (text == m_text) {
+            return;
+        }
+        m_text = std::move(text);
+        const result<node_settings, located_errors> read = parse_settings(m_path, m_text);
+        if (read.has_error()) {
+            log_event(event::settings_refused, {{"place", to_string(read.error().front())}});
+            return;
+        }
+        const settings_change done = m_served.apply(read.value());
+        log_event(event::settings_reloaded, {{"changed", done.m_applied ? "yes" : "no"},
+                                             {"needs_restart", done.m_needs_restart ? "yes" : "no"}});
+    }
+
+private:
+    node& m_served;
+    std::string m_path;
+    std::optional<std::string> m_text; ///< As it was last seen.
+    timer m_timer;
+};
+
 /** Runs the node until its planned stop. @return the exit status. */
-int serve(const node_settings& settings, node_charts charts)
+int serve(const std::string& path, const node_settings& settings, node_charts charts)
 {
     start_log("waxwingd", settings.m_log_format);
     event_loop loop;
@@ -93,6 +137,8 @@
         return start_failed_status;
     }
     log_event(event::node_started, {{"node", settings.m_name.m_value}, {"version", WAXWING_VERSION}});
+    settings_watch watched(loop, served, path);
+    const signal_watcher on_hangup(loop, SIGHUP, [&watched] { watched.look(); });
     const signal_watcher on_terminate(loop, SIGTERM, [&served] { served.stop(); });
     const signal_watcher on_interrupt(loop, SIGINT, [&served] { served.stop(); });
     loop.run();
@@ -106,11 +152,12 @@
     const std::vector<std::string> words(arguments + 1, arguments + count);
     const auto options = docopt::docopt(usage, words, true, std::string("waxwingd ") + WAXWING_VERSION);
     const std::string path = options.at("--settings").asString();
-    const std::optional<node_settings> settings = load_settings(path);
-    if (!settings.has_value()) {
+    const result<node_settings, located_errors> settings = parse_settings(path, read_text(path));
+    if (settings.has_error()) {
+        print_errors(settings.error());
         return settings_refused_status;
     }
-    result<node_charts, located_errors> charts = read_charts(settings->m_charts);
+    result<node_charts, located_errors> charts = read_charts(settings.value().m_charts);
     if (charts.has_error()) {
         print_errors(charts.error());
         return settings_refused_status;
@@ -120,5 +167,5 @@
         return 0;
     }
     std::signal(SIGPIPE, SIG_IGN);
-    return serve(*settings, std::move(charts).value());
+    return serve(path, settings.value(), std::move(charts).value());
 }
--- a/test/process_test.py
+++ b/test/process_test.py
@@ -12,7 +12,7 @@
 import unittest
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "tools"))
-from lab import HOST, Lab, request  # noqa: E402
+from lab import BUILD, HOST, Lab, request  # noqa: E402
 
 DEPLOYMENT = {
     "region": "eg-north",
@@ -196,6 +196,35 @@
         self.assertEqual(order(port, "outage-2")[0], 200)
         self.assertEqual(executions(self.lab)["outage-2"], 1)
 
+    def test_settings_change_while_a_node_runs_and_wrong_ones_change_nothing(self):
+        one = self.of("records")[0]
+        path = self.lab.folder / f"{one.name}.ini"
+        good = path.read_text()
+        log = self.lab.folder / f"node-{one.name}.log"
+        for text, event in ((good.replace("stop_limit = 20s", "stop_limit = 21s"), "settings-reloaded"),
+                            (good.replace("stop_limit = 20s", "stop_limit = soon"), "settings-refused")):
+            path.write_text(text)
+            self.lab.kill(one.node_process, signal.SIGHUP)
+            self.lab.wait(f"the log says {event}", lambda word=event: word in log.read_text())
+        self.assertIsNone(one.node_process.poll())
+        self.assertEqual(call(one.callers, "records", "GET", "/conditions/1")[0], 200)
+
+    def test_a_node_starts_with_a_plain_value_of_every_setting(self):
+        one = self.of("records")[0]
+        self.lab.kill(one.node_process, signal.SIGKILL)
+        one.node_process.wait()
+        path = self.lab.folder / f"{one.name}.ini"
+        text = path.read_text().replace("caller_connections = 4000", "caller_connections = 4000\nbody_limit = 100000\n"
+                                        "descriptors = 4100")
+        text = text.replace("[target]\n", f"[target]\naddress = {HOST}:{one.target}\nslots = 10\nconnections = 50\n"
+                            "sub_calls = context\n")
+        text = text.replace("[platform]\n", f"[platform]\nconfiguration = published\nregistry = {HOST}:{one.gossip + 5}\n"
+                            f"readiness = {HOST}:{one.gossip + 6}\n") + "[log]\nformat = json\n"
+        path.write_text(text)
+        one.node_process = self.lab.spawn(f"node-{one.name}", BUILD / "waxwingd", f"--settings={path}")
+        self.lab.wait("the node serves", self.lab.all_ready)
+        self.assertEqual(call(one.callers, "records", "GET", "/conditions/1")[0], 200)
+
 
 if __name__ == "__main__":
     unittest.main(verbosity=2)
