Fix: clang could not make the exchange of an HTTP client's connection

Cause: an optional of a nested struct with default member initialisers, used within the enclosing class; clang 14 takes it for not constructible, so the linter stopped there.

--- a/src/http/client_connection_base.h
+++ b/src/http/client_connection_base.h
@@ -18,6 +18,14 @@
     lost      ///< The connection broke or what came is no answer.
 };
 
+/** What must be known of the request in progress on a connection. */
+struct open_exchange {
+    exchange_id m_exchange;   ///< Names it to the client's owner.
+    bool m_head = false;      ///< Whether the answer has no body.
+    std::string m_echo_name;  ///< Field that the answer repeats; empty where none does.
+    std::string m_echo_value; ///< Its value.
+};
+
 /**
  * One connection, which carries one request at a time. Thread safety: for the loop's thread only.
  */
@@ -62,14 +70,6 @@
     /** How far the connection is. */
     enum class phase { connecting, ready, closed };
 
-    /** What must be known of the request in progress. */
-    struct open_request {
-        exchange_id m_exchange;
-        bool m_head = false;      ///< Whether the answer has no body.
-        std::string m_echo_name;  ///< Field that the answer repeats; empty where none does.
-        std::string m_echo_value; ///< Its value.
-    };
-
     void on_ready(int events);
     void write_request(const http_send& request);
     void send_out();
@@ -90,7 +90,7 @@
     std::size_t m_sent = 0;         ///< Bytes of it that have gone out.
     std::string m_in;               ///< Received and not parsed.
     std::optional<parser> m_parser; ///< Of the answer.
-    std::optional<open_request> m_request;
+    std::optional<open_exchange> m_request;
     instant m_idle_since{};
     duration m_server_idle_limit = duration::max();
     int m_watched = 0;
