Fix: at the limit of connections an idle one was closed for a client that never came

Cause: the server made room before it knew whether a connection was waiting, so the last one accepted, still silent, was closed itself. Found by http_wire_test, which failed first. Ruled out: the order of accepting (the test's second connection was closed in the same batch). Change: room is made only once a connection was accepted.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -87,9 +87,6 @@
         const std::size_t limit = m_shared.m_settings.m_connection_limit;
         const std::size_t most = limit + limit / surplus_share;
         for (int count = 0; count < accept_batch; ++count) {
-            if (m_connections.size() >= limit && !m_idle.empty()) {
-                m_idle.front()->close();
-            }
             if (m_connections.size() > most) {
                 pause_accepting();
                 return;
@@ -101,6 +98,10 @@
                 }
                 return;
             }
+            // Only now: closing one for a client that does not come would cost a caller its connection.
+            if (m_connections.size() >= limit && !m_idle.empty()) {
+                m_idle.front()->close();
+            }
             auto made = std::make_unique<server_connection>(m_shared, std::move(accepted).value(),
                                                             m_connections.size() >= limit);
             server_connection* const raw = made.get();
