--- a/test/entry_test.cpp
+++ b/test/entry_test.cpp
@@ -78,6 +78,24 @@
         return m_actions.back();
     }
 
+    /** Refuses each attempt by @p why until the request ends in @p step; gives the number of attempts. */
+    int refuse_all(entry_action& step, rule why)
+    {
+        int attempts = 0;
+        while (const auto* const attempt = std::get_if<entry_send>(&step)) {
+            ++attempts;
+            answer refused = refusal(why);
+            refused.m_retry_tokens = attempt->m_call.m_context.m_retry_tokens;
+            m_actions.clear();
+            m_entry.answered(m_now, attempt->m_attempt, refused, m_actions);
+            m_now += std::chrono::milliseconds(1);
+            m_entry.tick(m_now, m_actions);
+            const entry_action next = m_actions.back();
+            step = next;
+        }
+        return attempts;
+    }
+
     /** Lets a call run at the target beside the entry. */
     void run(const char* id, std::uint64_t attempt, duration left)
     {
@@ -148,38 +166,16 @@
 Test(entry, a_request_reaches_no_more_targets_than_its_kind_allows)
 {
     entry_bench bench;
-    entry_action step = bench.arrive("/plain/x", {{"Id", "i"}});
-    int reached = 0;
-    while (const auto* const attempt = std::get_if<entry_send>(&step)) {
-        ++reached;
-        answer refused = refusal(rule::target_refused);
-        refused.m_retry_tokens = attempt->m_call.m_context.m_retry_tokens;
-        bench.m_actions.clear();
-        bench.m_entry.answered(bench.m_now, attempt->m_attempt, refused, bench.m_actions);
-        bench.m_now += std::chrono::milliseconds(1);
-        bench.m_entry.tick(bench.m_now, bench.m_actions);
-        step = bench.m_actions.back();
-    }
-    cr_assert(reached == 2, "%d", reached);
-    cr_assert(std::get<entry_reply>(step).m_answer.m_state == run_state::not_run);
+    entry_action last = bench.arrive("/plain/x", {{"Id", "i"}});
+    cr_assert(bench.refuse_all(last, rule::target_refused) == 2);
+    cr_assert(std::get<entry_reply>(last).m_answer.m_state == run_state::not_run);
 }
 
 Test(entry, refusals_by_nodes_cost_no_attempt_at_a_target)
 {
     entry_bench bench;
-    entry_action step = bench.arrive("/plain/x", {{"Id", "i"}});
-    int asked = 0;
-    while (const auto* const attempt = std::get_if<entry_send>(&step)) {
-        ++asked;
-        answer refused = refusal(rule::draining);
-        refused.m_retry_tokens = attempt->m_call.m_context.m_retry_tokens;
-        bench.m_actions.clear();
-        bench.m_entry.answered(bench.m_now, attempt->m_attempt, refused, bench.m_actions);
-        bench.m_now += std::chrono::milliseconds(1);
-        bench.m_entry.tick(bench.m_now, bench.m_actions);
-        step = bench.m_actions.back();
-    }
-    cr_assert(asked == 3, "each of the three nodes is asked, %d were", asked);
+    entry_action last = bench.arrive("/plain/x", {{"Id", "i"}});
+    cr_assert(bench.refuse_all(last, rule::draining) == 3, "each of the three nodes is asked");
 }
 
 Test(entry, a_planned_stop_refuses_whole_requests_and_serves_sub_calls)
--- a/test/http_test.cpp
+++ b/test/http_test.cpp
@@ -1,5 +1,6 @@
 /** @file http_test.cpp The HTTP tasks over loopback sockets. */
 #include "http/http.h"
+#include "test/http_loop.h"
 
 #include <criterion/criterion.h>
 #include <netinet/in.h>
@@ -10,16 +11,6 @@
 
 namespace {
 
-constexpr duration guard = std::chrono::seconds(60);
-
-/** A loop that ends with a failure where the awaited events do not come. */
-struct guarded_loop {
-    event_loop m_loop;
-    timer m_guard{m_loop, [] { cr_assert(false, "the awaited events did not come"); }};
-
-    guarded_loop() { m_guard.set(guard); }
-};
-
 http_server_settings any_port(std::size_t body_limit)
 {
     http_server_settings settings;
--- a/test/http_wire_test.cpp
+++ b/test/http_wire_test.cpp
@@ -1,6 +1,7 @@
 /** @file http_wire_test.cpp What goes over the wire where the other side misbehaves; raw sockets play that
  * side. */
 #include "http/http.h"
+#include "test/http_loop.h"
 
 #include <criterion/criterion.h>
 
@@ -11,16 +12,6 @@
 
 namespace {
 
-constexpr duration guard = std::chrono::seconds(60);
-
-/** A loop that ends with a failure where the awaited events do not come. */
-struct guarded_loop {
-    event_loop m_loop;
-    timer m_guard{m_loop, [] { cr_assert(false, "the awaited events did not come"); }};
-
-    guarded_loop() { m_guard.set(guard); }
-};
-
 /** A server that gives each request the next prepared bytes, whatever it says; "!" closes the connection. */
 struct raw_server {
     explicit raw_server(event_loop& loop, std::deque<std::string> answers)
