Change: the threshold sheds whole requests only, never sub-calls

Found by counting events 610 and 611 by kind, depth and rule. Ruled out: targets that fail (3,356 of 142,411 runs badly), full queues (queue-timeout 186). Change: only calls of depth 0 are shed; the threshold still rises and travels up, and entries refuse by it.

--- a/src/policy/admission.cpp
+++ b/src/policy/admission.cpp
@@ -76,6 +76,15 @@
         return request.m_priority.importance() >= m_settings.m_headroom_importance;
     }
 
+    /**
+     * Tells whether the threshold sheds @p request. Sub-calls are never shed: refusing one wastes the slots
+     * and the work of all calls above it, so the threshold travels up and entries refuse whole requests.
+     */
+    bool is_shed(const admission_request& request) const
+    {
+        return request.m_depth == 0 && request.m_priority < m_shed.value();
+    }
+
     /** Tells whether a slot is free for @p request. */
     bool has_slot(instant now, const admission_request& request) const;
 
@@ -157,10 +166,14 @@
     const shed_view view{m_calls.waiting(), m_calls.running(), usable};
     m_limit.advance(now, view.m_running, view.m_waiting > 0 || view.m_running >= usable);
     if (m_shed.advance(now, view)) {
-        for (held_call* call = m_calls.worst();
-             call != nullptr && call->m_request.m_priority < m_shed.value(); call = m_calls.worst()) {
-            take_out(*call);
-            refuse(*call, rule::shed, actions);
+        held_call* call = m_calls.worst();
+        while (call != nullptr && call->m_request.m_priority < m_shed.value()) {
+            held_call* const next = m_calls.next_before(*call);
+            if (is_shed(call->m_request)) {
+                take_out(*call);
+                refuse(*call, rule::shed, actions);
+            }
+            call = next;
         }
     }
     expire(now, actions);
@@ -174,7 +187,7 @@
     if (!can_finish(now, request)) {
         return rule::deadline_expired;
     }
-    if (request.m_priority < m_shed.value()) {
+    if (is_shed(request)) {
         return rule::shed;
     }
     return request.m_alone && m_alone_waiting >= alone_most ? rule::suspect_waiting : rule::none;
--- a/src/policy/queue.cpp
+++ b/src/policy/queue.cpp
@@ -107,6 +107,12 @@
     return position == m_ranked.begin() ? nullptr : &*std::prev(position);
 }
 
+held_call* call_table::next_before(held_call& call)
+{
+    const auto position = std::next(m_ranked.iterator_to(call));
+    return position == m_ranked.end() ? nullptr : &*position;
+}
+
 held_call* call_table::first_to_expire()
 {
     return m_expiries.empty() ? nullptr : &*m_expiries.begin();
--- a/src/policy/queue_base.h
+++ b/src/policy/queue_base.h
@@ -77,6 +77,9 @@
     /** Finds the waiting call that goes next after @p call; null where there is none. */
     held_call* next_after(held_call& call);
 
+    /** Finds the waiting call that goes next before @p call; null where there is none. */
+    held_call* next_before(held_call& call);
+
     /** Finds the waiting call that expires first; null where none waits. */
     held_call* first_to_expire();
 
--- a/test/policy_admission_test.cpp
+++ b/test/policy_admission_test.cpp
@@ -381,3 +381,49 @@
         }
     }
 }
+
+/**
+ * The load of the korero surge: twice what the target carries, half of it sub-calls of requests that other
+ * nodes have admitted. Refusing a sub-call wastes the calls above it, so the threshold must fall on whole
+ * requests alone.
+ */
+Test(admission, under_overload_the_threshold_sheds_whole_requests_and_no_sub_call)
+{
+    constexpr std::uint32_t slots = 10;
+    constexpr duration run_time = std::chrono::milliseconds(20);
+    constexpr duration interval = std::chrono::milliseconds(1);
+    admission_settings settings = slots_of(slots);
+    settings.m_limit.m_floor = slots;
+    admission tested(settings);
+    std::vector<admission_action> actions;
+    std::multimap<instant, attempt_id> ends;
+    std::map<attempt_id, bool> is_sub_call;
+    random_source random(7);
+    std::size_t roots_shed = 0;
+    std::size_t sub_calls_shed = 0;
+    instant now = start_time;
+    for (std::uint64_t number = 1; number <= 4000; ++number) {
+        now += interval;
+        while (!ends.empty() && ends.begin()->first <= now) {
+            tested.finish(now, ends.begin()->second, run_time, run_end::succeeded, actions);
+            ends.erase(ends.begin());
+        }
+        admission_request request = call_of(number, 128, static_cast<std::uint8_t>(random() % 256));
+        request.m_depth = number % 2 == 0 ? 3 : 0;
+        is_sub_call[request.m_attempt] = request.m_depth > 0;
+        tested.offer(now, request, actions);
+        tested.tick(now, actions);
+        for (const admission_action& action : std::exchange(actions, {})) {
+            if (const auto* const started = std::get_if<admission_start>(&action)) {
+                ends.emplace(now + run_time, started->m_attempt);
+                continue;
+            }
+            const auto& refused = std::get<admission_refuse>(action);
+            if (refused.m_rule == rule::shed) {
+                (is_sub_call.at(refused.m_attempt) ? sub_calls_shed : roots_shed) += 1;
+            }
+        }
+    }
+    cr_assert(sub_calls_shed == 0, "%zu sub-calls were shed", sub_calls_shed);
+    cr_assert(roots_shed > 500, "%zu whole requests were shed", roots_shed);
+}
