Codechange: the target's task took settings that it did not read

Cause: read over the whole change: since the target of the settings is announced by target_task::start, the constructor's settings were dead. Change: the parameter goes. No behaviour changes. Measured: waxwingd builds; the process test that starts a node with every setting passes; layers and names checked.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -83,7 +83,7 @@
     : m_loop(loop), m_settings(std::move(settings)), m_charts(std::move(charts)), m_life(m_charts.m_node),
       m_calls(loop, m_settings, surroundings.m_dialect, life, seed, m_metrics,
               [this](call_output&& output) { on_call_output(std::move(output)); }),
-      m_target(loop, m_settings, surroundings.m_dialect, m_charts.m_target,
+      m_target(loop, surroundings.m_dialect, m_charts.m_target,
                [this](target_output&& output) { on_target_output(std::move(output)); }),
       m_control(loop, m_settings, surroundings.m_storage, life, seed + 100,
                 [this](control_output&& output) { on_control_output(std::move(output)); }),
--- a/src/node/target_task.cpp
+++ b/src/node/target_task.cpp
@@ -50,8 +50,8 @@
 
 } // namespace
 
-target_task::target_task(event_loop& loop, const node_settings&, const request_dialect& dialect,
-                         const chart& life_chart, handler on_output)
+target_task::target_task(event_loop& loop, const request_dialect& dialect, const chart& life_chart,
+                         handler on_output)
     : m_loop(loop), m_dialect(dialect), m_on_output(std::move(on_output)), m_life(life_chart),
       m_connect_probe(loop, [this](bool accepts) { on_connect_probe(accepts); }),
       m_timer(loop, [this] { on_time(); })
--- a/src/node/target_task_base.h
+++ b/src/node/target_task_base.h
@@ -24,8 +24,7 @@
     using handler = std::function<void(target_output&&)>;
 
     /** @pre @p loop, @p dialect and @p life_chart outlive the task. */
-    target_task(event_loop& loop, const node_settings& settings, const request_dialect& dialect,
-                const chart& life_chart, handler on_output);
+    target_task(event_loop& loop, const request_dialect& dialect, const chart& life_chart, handler on_output);
 
     /** Announces the target that the settings name, where they name one. */
     void start(const node_settings& settings);
