--- a/bench/decisions/cost.cpp
+++ b/bench/decisions/cost.cpp
@@ -75,7 +75,7 @@
         const load_report report = m_gate.report(m_now);
         m_routes.on_end(m_now, *node, route_result::succeeded, &report);
         m_thresholds.learn(m_now, m_kind, report.m_threshold);
-        m_budget.on_success(m_now);
+        m_budget.on_request(m_now, priority_of(128, 7));
     }
 
 private:
--- a/src/base/call_type.h
+++ b/src/base/call_type.h
@@ -57,6 +57,7 @@
     duration m_time_left{};           ///< Time left until the deadline, at the moment of sending.
     std::uint16_t m_retry_tokens = 0; ///< Tokens lent with this call.
     std::uint8_t m_depth = 0;         ///< Zero for the call of an outside caller.
+    bool m_repeat = false; ///< Whether it, or a call above it, reached a target of its service before.
 };
 
 /** One call to a service. */
--- a/src/call/entry.cpp
+++ b/src/call/entry.cpp
@@ -159,6 +159,7 @@
     else {
         checked = prepare_root(now, opened);
     }
+    budget_of(made.m_service, opened.m_retry).on_request(now, made.m_context.m_priority);
     if (is_refused(checked)) {
         return checked;
     }
@@ -256,6 +257,9 @@
         m_keys.emplace(key, number);
     }
     open_call& current = m_calls.emplace(number, std::move(opened)).first->second;
+    if (current.m_call.m_context.m_repeat) {
+        budget_of(current.m_call.m_service, current.m_retry).charge(now);
+    }
     send_attempt(now, number, current, actions);
 }
 
--- a/src/call/entry_attempt.cpp
+++ b/src/call/entry_attempt.cpp
@@ -10,6 +10,9 @@
 /** Retries of the baseline with fixed slots, at each hop. */
 constexpr unsigned baseline_retries = 3;
 
+/** Attempts of one call at most: nine in ten calls pass targets that refuse 80 of 100. */
+constexpr unsigned most_attempts = 10;
+
 /** Targets that one request may cost. */
 constexpr std::uint8_t most_crashes = 2;
 
@@ -61,13 +64,41 @@
     call sent = current.m_call;
     sent.m_context.m_time_left = current.m_deadline - now;
     sent.m_context.m_retry_tokens = current.m_lent;
+    sent.m_context.m_repeat |= !current.m_reached.empty();
     actions.emplace_back(entry_send{*node, current.m_attempt, std::move(sent)});
 }
 
-/** Chooses where to send the next attempt. */
+/**
+ * Chooses where to send the next attempt: to a node not tried yet, while the kind allows another target; then
+ * to the target that refused the longest ago, since targets that refuse a part of their calls may take the
+ * next.
+ */
 std::optional<node_id> entry::choose_node(instant now, const open_call& current)
 {
-    return router_of(current.m_call.m_service).pick(now, current.m_call.m_service, current.m_tried, m_random);
+    std::optional<node_id> chosen;
+    if (current.m_reached.size() < current.m_kind->m_attempts) {
+        chosen = router_of(current.m_call.m_service)
+                     .pick(now, current.m_call.m_service, current.m_tried, m_random);
+    }
+    const bool again = !chosen.has_value() && !current.m_refusers.empty();
+    return again ? current.m_refusers.front() : chosen;
+}
+
+/** Takes note of whether the attempt of @p current that ended with @p given reached a target. */
+void entry::note_reached(open_call& current, const answer& given)
+{
+    const bool refused = given.m_rule == rule::target_refused;
+    if (given.m_state == run_state::not_run && !refused) {
+        return;
+    }
+    std::erase(current.m_refusers, current.m_node);
+    if (refused) {
+        current.m_refusers.push_back(current.m_node);
+    }
+    if (std::find(current.m_reached.begin(), current.m_reached.end(), current.m_node) ==
+        current.m_reached.end()) {
+        current.m_reached.push_back(current.m_node);
+    }
 }
 
 void entry::answered(instant now, attempt_id attempt, const answer& given, std::vector<entry_action>& actions)
@@ -83,7 +114,7 @@
         m_thresholds.learn(now, current.m_kind->m_name, given.m_load.m_threshold);
     }
     router_of(current.m_call.m_service).on_end(now, current.m_node, result_of(given), &given.m_load);
-    end_attempt(now, number, given, result_of(given), actions);
+    end_attempt(now, number, given, actions);
 }
 
 void entry::undelivered(instant now, attempt_id attempt, std::vector<entry_action>& actions)
@@ -97,7 +128,7 @@
     router_of(current.m_call.m_service).on_end(now, current.m_node, route_result::failed, nullptr);
     answer given = refusal(rule::target_unreachable);
     given.m_retry_tokens = current.m_lent;
-    end_attempt(now, number, given, route_result::failed, actions);
+    end_attempt(now, number, given, actions);
 }
 
 void entry::peer_lost(instant now, const node_id& node, std::vector<entry_action>& actions)
@@ -111,12 +142,12 @@
     std::sort(lost.begin(), lost.end());
     for (const call_number number : lost) {
         router_of(m_calls.at(number).m_call.m_service).on_end(now, node, route_result::failed, nullptr);
-        end_attempt(now, number, refusal(rule::link_lost, run_state::unknown), route_result::failed, actions);
+        end_attempt(now, number, refusal(rule::link_lost, run_state::unknown), actions);
     }
 }
 
 /** Ends the attempt in flight of the call @p number, and goes on to a retry or to the caller. */
-void entry::end_attempt(instant now, call_number number, const answer& given, route_result end,
+void entry::end_attempt(instant now, call_number number, const answer& given,
                         std::vector<entry_action>& actions)
 {
     open_call& current = m_calls.at(number);
@@ -126,14 +157,10 @@
     current.m_lent = 0;
     current.m_tried.push_back(current.m_node);
     current.m_may_have_run |= given.m_state != run_state::not_run;
-    const bool reached = given.m_state != run_state::not_run || given.m_rule == rule::target_refused;
-    current.m_reached += reached ? 1 : 0;
+    note_reached(current, given);
     if (given.m_rule == rule::target_crashed) {
         ++current.m_call.m_crashes;
     }
-    if (end == route_result::succeeded) {
-        budget_of(current.m_call.m_service, current.m_retry).on_success(now);
-    }
     if (may_retry(now, current, given)) {
         retry_later(now, number, current, given);
         return;
@@ -164,8 +191,11 @@
     if (!reached) {
         return true;
     }
-    return current.m_reached < current.m_kind->m_attempts &&
-           budget_of(current.m_call.m_service, current.m_retry).try_spend(now);
+    const bool target_left =
+        current.m_reached.size() < current.m_kind->m_attempts || !current.m_refusers.empty();
+    return target_left && current.m_attempts < most_attempts &&
+           budget_of(current.m_call.m_service, current.m_retry)
+               .try_spend(now, current.m_call.m_context.m_priority);
 }
 
 /** Spends a token and waits for the backoff. */
@@ -210,7 +240,9 @@
 
 retry_budget& entry::budget_of(const service_name& service, const retry_settings& settings)
 {
-    return m_budgets.try_emplace(service, settings).first->second;
+    retry_budget& budget = m_budgets.try_emplace(service, settings).first->second;
+    budget.configure(settings);
+    return budget;
 }
 
 } // namespace waxwing
--- a/src/call/entry_base.h
+++ b/src/call/entry_base.h
@@ -129,8 +129,9 @@
         answer m_last;                              ///< Of the attempt before a retry.
         instant m_next;                             ///< When tick is to look at it.
         std::optional<attempt_id> m_parent;         ///< The running call that makes this sub-call.
-        bool m_is_sub_call = false; ///< Whether a target sent it, also where the call is not known.
-        unsigned m_reached = 0;     ///< Attempts that were handed to a target.
+        bool m_is_sub_call = false;      ///< Whether a target sent it, also where the call is not known.
+        std::vector<node_id> m_reached;  ///< Nodes whose target was sent an attempt, each once.
+        std::vector<node_id> m_refusers; ///< Those of m_reached whose target refused, the last one last.
     };
 
     /** Where the requests of one split go next. */
@@ -153,7 +154,8 @@
     void send_attempt(instant now, call_number number, open_call& current,
                       std::vector<entry_action>& actions);
     std::optional<node_id> choose_node(instant now, const open_call& current);
-    void end_attempt(instant now, call_number number, const answer& given, route_result end,
+    static void note_reached(open_call& current, const answer& given);
+    void end_attempt(instant now, call_number number, const answer& given,
                      std::vector<entry_action>& actions);
     bool may_retry(instant now, const open_call& current, const answer& given);
     void retry_later(instant now, call_number number, open_call& current, answer given);
--- a/src/call/entry_sub_call.cpp
+++ b/src/call/entry_sub_call.cpp
@@ -39,6 +39,7 @@
     call_context& context = opened.m_call.m_context;
     context.m_root = parent.m_context.m_root;
     context.m_priority = parent.m_context.m_priority;
+    context.m_repeat = parent.m_context.m_repeat;
     context.m_depth = static_cast<std::uint8_t>(std::min(parent.m_context.m_depth + 1, 255));
     opened.m_call.m_caller = parent.m_caller;
     opened.m_granted = parent.m_tokens.lend();
--- a/src/config/table/keys.h
+++ b/src/config/table/keys.h
@@ -67,7 +67,7 @@
     {"tokens", value_at<&retry_settings::m_tokens>(), key_need::optional, "0", "100",
      "Retries for one whole request, over all hops"},
     {"budget_share", value_at<&retry_settings::m_budget_share>(), key_need::optional, "0", "1",
-     "Retries of one hop, as a share of its successes"},
+     "Repeats that reach a service's targets, as a share of the requests for it in 10 s"},
     {"budget_floor", value_at<&retry_settings::m_budget_floor>(), key_need::optional, "0", "1000",
      "Retries a second that a hop may always make"},
     {"backoff_least", value_at<&retry_settings::m_backoff_least>(), key_need::optional, "0ms", "1m",
--- a/src/link/codec.cpp
+++ b/src/link/codec.cpp
@@ -53,7 +53,7 @@
                                   made.m_idempotent, made.m_method, made.m_path, to_json(made.m_headers),
                                   made.m_idempotency_key, made.m_fingerprint, context.m_root.m_value,
                                   context.m_priority.m_value, context.m_time_left.count(),
-                                  context.m_retry_tokens, context.m_depth, made.m_crashes}),
+                                  context.m_retry_tokens, context.m_depth, made.m_crashes, context.m_repeat}),
                      made.m_body);
     }
 
@@ -228,6 +228,7 @@
     reader.read(made.m_context.m_retry_tokens);
     reader.read(made.m_context.m_depth);
     reader.read(made.m_crashes);
+    reader.read(made.m_context.m_repeat);
     if (!reader.good()) {
         return malformed("call");
     }
--- a/src/policy/retry.cpp
+++ b/src/policy/retry.cpp
@@ -3,14 +3,22 @@
 
 #include "policy/number_func.h"
 
+#include <utility>
+
 namespace waxwing {
 
 namespace {
 
-constexpr duration budget_memory = std::chrono::seconds(2); ///< What was earned fades over this time.
-constexpr double budget_most = 10'000.0;                    ///< Retries that a hop can save up.
-constexpr double floor_most = 1'000.0;                      ///< Highest floor in retries a second.
-constexpr unsigned doublings_most = 30;                     ///< Later retries wait no longer.
+constexpr double floor_most = 1'000.0;  ///< Highest floor in retries a second.
+constexpr double part_least = 0.1;      ///< Part of the allowance that the lowest priority may use.
+constexpr unsigned rank_bits = 4;       ///< Priorities that differ in these bits only share a rank.
+constexpr unsigned doublings_most = 30; ///< Later retries wait no longer.
+
+/** Gives the second that @p now lies in. */
+std::int64_t second_of(instant now)
+{
+    return std::chrono::floor<std::chrono::seconds>(now.time_since_epoch()).count();
+}
 
 } // namespace
 
@@ -44,40 +52,78 @@
     return true;
 }
 
-double retry_budget::balance_at(instant now) const
+void retry_budget::advance(instant now)
 {
-    const double seconds = to_seconds(elapsed(m_refilled, now));
-    const double memory = to_seconds(budget_memory);
-    const double kept = std::exp(-seconds / memory);
-    const double floor = clamp_number(m_settings.m_budget_floor, 0.0, floor_most);
-    return std::min(m_balance * kept + floor * memory * (1.0 - kept), budget_most);
+    const std::int64_t second = second_of(now);
+    if (second <= m_second) {
+        return;
+    }
+    for (std::int64_t passed = std::max(m_second + 1, second - window_seconds); passed <= second; ++passed) {
+        m_requests[slot_of(passed)] = m_spent[slot_of(passed)] = 0;
+    }
+    m_second = second;
+    if (second >= m_rank_end) {
+        m_ranks_before = second < m_rank_end + window_seconds ? std::move(m_ranks) : rank_counts{};
+        m_ranks.clear();
+        m_rank_end = second + window_seconds;
+    }
 }
 
-void retry_budget::refill(instant now)
+double retry_budget::sum(const second_counts& counts, std::int64_t seconds) const
 {
-    m_balance = balance_at(now);
-    m_refilled = std::max(m_refilled, now);
+    double total = 0.0;
+    for (std::int64_t back = 0; back < std::min(seconds, m_second + 1); ++back) {
+        total += counts[slot_of(m_second - back)];
+    }
+    return total;
 }
 
-void retry_budget::on_success(instant now)
+void retry_budget::on_request(instant now, priority wanted)
 {
-    refill(now);
-    m_balance = std::min(m_balance + clamp_number(m_settings.m_budget_share, 0.0, 1.0), budget_most);
+    advance(now);
+    ++m_requests[slot_of(m_second)];
+    ++m_ranks[static_cast<std::uint16_t>(wanted.m_value >> rank_bits)];
 }
 
-bool retry_budget::try_spend(instant now)
+void retry_budget::charge(instant now)
 {
-    refill(now);
-    if (m_balance < 1.0) {
+    advance(now);
+    ++m_spent[slot_of(m_second)];
+}
+
+double retry_budget::part_of(priority wanted) const
+{
+    const auto rank = static_cast<std::uint16_t>(wanted.m_value >> rank_bits);
+    double below = 0.0;
+    double all = 0.0;
+    for (const rank_counts* const counts : {&m_ranks, &m_ranks_before}) {
+        for (const auto& [other, count] : *counts) {
+            all += count;
+            below += other < rank ? count : other == rank ? count / 2.0 : 0.0;
+        }
+    }
+    const double rank_share = all == 0.0 ? 1.0 : below / all;
+    return part_least + (1.0 - part_least) * rank_share * rank_share;
+}
+
+bool retry_budget::try_spend(instant now, priority wanted)
+{
+    advance(now);
+    const double spent = sum(m_spent, window_seconds + 1);
+    const double allowed = allowance(now);
+    if (spent + 1.0 > allowed || spent >= allowed * part_of(wanted)) {
         return false;
     }
-    m_balance -= 1.0;
+    charge(now);
     return true;
 }
 
-double retry_budget::available(instant now) const
+double retry_budget::allowance(instant now) const
 {
-    return balance_at(now);
+    const double share = clamp_number(m_settings.m_budget_share, 0.0, 1.0);
+    const double floor = clamp_number(m_settings.m_budget_floor, 0.0, floor_most);
+    const std::int64_t passed = std::clamp<std::int64_t>(second_of(now) - m_second, 0, window_seconds);
+    return floor * window_seconds + share * sum(m_requests, window_seconds - passed);
 }
 
 duration retry_backoff(const retry_settings& settings, unsigned attempt, random_source& random)
--- a/src/policy/retry_base.h
+++ b/src/policy/retry_base.h
@@ -4,6 +4,9 @@
 
 #include "policy/settings_type.h"
 
+#include <array>
+#include <map>
+
 namespace waxwing {
 
 /**
@@ -38,30 +41,65 @@
     std::uint16_t m_lent = 0;  ///< Lent and not given back; with m_available never above what was granted.
 };
 
-/** The budget of one hop: retries as a share of recent successes. Thread safety: none needed. */
+/**
+ * The repeats that one node may send to the targets of one service: a share of the requests for it in a
+ * sliding window, and a floor. Both counts add up over nodes, so the sum over any set of nodes keeps the same
+ * share without agreement. Where the share is short, repeats of the highest priorities go first: a whole
+ * request of many calls succeeds only if all its calls do, and the priority is the same in all of them.
+ *
+ * Answers a service whose targets refuse a part of the calls at random, below a tree of calls.
+ * Thread safety: none needed; one owner.
+ */
 class retry_budget {
 public:
     explicit retry_budget(const retry_settings& settings) : m_settings(settings) {}
 
-    /** Counts a success. */
-    void on_success(instant now);
+    /** Takes new settings into force; what was counted stays. */
+    void configure(const retry_settings& settings) { m_settings = settings; }
+
+    /** Counts a request of @p wanted for the service, whether it is sent or refused. */
+    void on_request(instant now, priority wanted);
+
+    /** Counts a repeat that is not this budget's choice: a call made by a run that is a repeat itself. */
+    void charge(instant now);
 
-    /** Spends one retry. @return false where the budget is empty. */
-    bool try_spend(instant now);
+    /** Spends one repeat of a request of @p wanted. @return false where the budget has none for it. */
+    bool try_spend(instant now, priority wanted);
 
-    /** Gives the retries that could be made now. */
-    double available(instant now) const;
+    /** Gives the repeats allowed in the window that ends now, spent ones included. */
+    double allowance(instant now) const;
 
 private:
-    /** Computes the balance at @p now: what was saved fades, and the floor adds to it. */
-    double balance_at(instant now) const;
+    static constexpr std::int64_t window_seconds = 10; ///< Length of the sliding window.
+
+    /** Counts by the second; the slots of a ring. */
+    using second_counts = std::array<std::uint32_t, window_seconds + 1>;
+
+    /** Requests by priority, in steps of 16 cohorts; at most 4,096 entries. */
+    using rank_counts = std::map<std::uint16_t, std::uint32_t>;
+
+    /** Gives the slot of @p second, which is not negative. */
+    static std::size_t slot_of(std::int64_t second)
+    {
+        return static_cast<std::size_t>(second % (window_seconds + 1));
+    }
+
+    /** Clears the seconds that have begun since the last call. */
+    void advance(instant now);
+
+    /** Sums the last @p seconds of @p counts. */
+    double sum(const second_counts& counts, std::int64_t seconds) const;
 
-    /** Brings the balance up to @p now. */
-    void refill(instant now);
+    /** Gives the part of the allowance that repeats of @p wanted may use, by its rank among the requests. */
+    double part_of(priority wanted) const;
 
-    retry_settings m_settings; ///< The settings in force.
-    double m_balance = 1.0;    ///< Retries that could be made at m_refilled.
-    instant m_refilled{};      ///< When the balance was computed.
+    retry_settings m_settings;   ///< The settings in force.
+    std::int64_t m_second = 0;   ///< The second that the counts have come to.
+    second_counts m_requests{};  ///< Requests of each second.
+    second_counts m_spent{};     ///< Repeats of each second.
+    rank_counts m_ranks;         ///< Of the present generation of a window's length.
+    rank_counts m_ranks_before;  ///< Of the generation before.
+    std::int64_t m_rank_end = 0; ///< The second at which the present generation ends.
 };
 
 /** Draws the wait before the retry with the number @p attempt, from one: exponential with full jitter. */
--- a/src/policy/settings_type.h
+++ b/src/policy/settings_type.h
@@ -9,8 +9,8 @@
 /** How retries are bounded. */
 struct retry_settings {
     std::uint16_t m_tokens = 3;  ///< Retries for one whole request, over all hops.
-    double m_budget_share = 0.1; ///< Retries of one hop, as a share of its successes.
-    double m_budget_floor = 1.0; ///< Retries a second that a hop may always make.
+    double m_budget_share = 0.1; ///< Repeats at a service, as a share of the requests for it.
+    double m_budget_floor = 1.0; ///< Repeats a second that a hop may always make.
     duration m_backoff_least = std::chrono::milliseconds(5);  ///< Mean wait before the first retry.
     duration m_backoff_most = std::chrono::milliseconds(250); ///< Longest wait before a retry.
 };
--- a/test/link_message_generators.h
+++ b/test/link_message_generators.h
@@ -46,6 +46,7 @@
     made.m_context.m_time_left = waxwing::duration(any<std::int64_t>());
     made.m_context.m_retry_tokens = any<std::uint16_t>();
     made.m_context.m_depth = any<std::uint8_t>();
+    made.m_context.m_repeat = any<bool>();
     return message;
 }
 
