Change: sub-calls wait in queue until their deadline

The threshold can't shed what runs already, so its answer to a surge takes about a second, and the bound was shorter than that.

Change: a sub-call is refused at its deadline; whole requests keep the short bound.

--- a/src/config/table/keys.h
+++ b/src/config/table/keys.h
@@ -39,7 +39,7 @@
     {"queue_target", value_at<&admission_settings::m_queue_target>(), key_need::optional, "1ms", "10s",
      "Time in queue that counts as overload"},
     {"queue_most", value_at<&admission_settings::m_queue_most>(), key_need::optional, "1ms", "1m",
-     "Longest time in queue"},
+     "Longest time in queue of a whole request"},
     {"queue_room", value_at<&admission_settings::m_queue_room>(), key_need::optional, "1", "100000",
      "Calls in queue at most; bounds memory"},
     {"headroom", value_at<&admission_settings::m_headroom>(), key_need::optional, "0", "0.9",
--- a/src/policy/admission.cpp
+++ b/src/policy/admission.cpp
@@ -85,6 +85,17 @@
         return request.m_depth == 0 && request.m_priority < m_shed.value();
     }
 
+    /**
+     * Gives the time at which @p request, queued at @p now, is refused. A sub-call waits until its deadline:
+     * in the time of a surge that the threshold needs to act, refusing sub-calls sooner wastes whole requests
+     * that would still end in time.
+     */
+    instant expiry_of(instant now, const admission_request& request) const
+    {
+        const duration most = std::max(m_settings.m_queue_most, duration::zero());
+        return request.m_depth > 0 ? request.m_deadline : std::min(request.m_deadline, later(now, most));
+    }
+
     /** Tells whether a slot is free for @p request. */
     bool has_slot(instant now, const admission_request& request) const;
 
@@ -268,8 +279,7 @@
         return;
     }
     own.m_alone_waiting += request.m_alone ? 1 : 0;
-    const duration most = std::max(own.m_settings.m_queue_most, duration::zero());
-    own.m_calls.enqueue(call, std::min(request.m_deadline, later(now, most)), own.m_shed.overloaded());
+    own.m_calls.enqueue(call, own.expiry_of(now, request), own.m_shed.overloaded());
     own.dispatch(now, actions);
     if (own.m_calls.waiting() > std::min(own.m_settings.m_queue_room, room_most)) {
         held_call& worst = *own.m_calls.worst();
--- a/src/policy/settings_type.h
+++ b/src/policy/settings_type.h
@@ -27,7 +27,7 @@
 struct admission_settings {
     limit_settings m_limit;                                  ///< The concurrency limit.
     duration m_queue_target = std::chrono::milliseconds(20); ///< Time in queue that counts as overload.
-    duration m_queue_most = std::chrono::milliseconds(300);  ///< Longest time in queue.
+    duration m_queue_most = std::chrono::milliseconds(300);  ///< Longest time in queue of a root.
     std::uint32_t m_queue_room = 1024;                       ///< Calls in queue at most, a bound on memory.
     double m_headroom = 0.1; ///< Share of the limit kept for m_headroom_importance and above.
     std::uint8_t m_headroom_importance = 192; ///< Kinds of this importance may use the headroom.
--- a/test/policy_admission_test.cpp
+++ b/test/policy_admission_test.cpp
@@ -211,6 +211,29 @@
     cr_assert(refused[3] == std::pair(rule::deadline_expired, start_time + std::chrono::milliseconds(50)));
 }
 
+/** The beginning of a surge at the end of a chain: a queue of half a second, until the entries refuse more.
+ */
+Test(admission, a_sub_call_waits_until_its_deadline_and_a_whole_request_a_short_time)
+{
+    admission gate(slots_of(1));
+    std::vector<admission_action> actions;
+    gate.offer(start_time, call_of(1, 200), actions);
+    const instant deadline = start_time + std::chrono::milliseconds(700);
+    admission_request deep = call_of(2, 128, 0, deadline);
+    deep.m_depth = 3;
+    gate.offer(start_time, deep, actions);
+    gate.offer(start_time, call_of(3, 200, 0, deadline), actions);
+    actions.clear();
+    const instant freed = start_time + std::chrono::milliseconds(500);
+    for (instant now = gate.next_tick(); now < freed; now = gate.next_tick()) {
+        gate.tick(now, actions);
+    }
+    cr_assert(actions.size() == 1 && number_of(actions[0]) == 3);
+    cr_assert(rule_of_action(actions[0]) == rule::queue_timeout);
+    gate.finish(freed, {1}, std::chrono::milliseconds(1), run_end::succeeded, actions);
+    cr_assert(number_of(actions.back()) == 2 && rule_of_action(actions.back()) == rule::none);
+}
+
 Test(admission, refuses_what_cant_finish_until_the_estimate_fades)
 {
     admission gate(slots_of(4));
