Codechange: the HTTP client forgets the times of requests that ended

Cause: each finished request left its deadline in the client's set of times until it was due, so at 4,000 calls a second and deadlines of seconds the set held thousands of entries that meant nothing. Two members named after a failed connect also served a failed send.

Ruled out: an effect on callers; on_timer skipped entries without a request.

Change: the times go with the request; the members are named for both uses.

Memory was not measured.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -53,12 +53,12 @@
                                      handlers on)
     : m_loop(loop), m_address(address), m_body_limit(body_limit), m_on(std::move(on)),
       m_watch(loop, [this](int events) { on_ready(events); }),
-      m_failed_start(loop, [this] { broken(m_start_error); })
+      m_failure_notice(loop, [this] { broken(m_failure); })
 {
     result<descriptor> started = start_connect(address, socket_use::http);
     if (started.has_error()) {
-        m_start_error = started.error().m_text;
-        m_failed_start.wake();
+        m_failure = started.error().m_text;
+        m_failure_notice.wake();
         return;
     }
     m_socket = std::move(started).value();
@@ -134,8 +134,8 @@
             return;
         }
         if (count < 0) {
-            m_start_error = std::strerror(errno);
-            m_failed_start.wake();
+            m_failure = std::strerror(errno);
+            m_failure_notice.wake();
             return;
         }
         m_sent += static_cast<std::size_t>(count);
--- a/src/http/client_connection_base.h
+++ b/src/http/client_connection_base.h
@@ -95,8 +95,8 @@
     duration m_server_idle_limit = duration::max();
     int m_watched = 0;
     io_watcher m_watch;
-    wakeup m_failed_start; ///< Tells of an attempt to connect that failed at once.
-    std::string m_start_error;
+    wakeup m_failure_notice; ///< Tells of a connect or send that failed at once.
+    std::string m_failure;
 };
 
 } // namespace waxwing
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -150,7 +150,7 @@
                 }
                 return;
             }
-            m_pending.erase(position);
+            forget(position);
             tell(id, how, std::move(given), why);
         }
         place_waiting();
@@ -189,7 +189,7 @@
         }
         client_connection* const connection = position->second.m_connection;
         const bool sent = connection != nullptr && connection->has_sent();
-        m_pending.erase(position);
+        forget(position);
         if (connection != nullptr) {
             connection->close();
             retire(*connection);
@@ -198,6 +198,14 @@
         place_waiting();
     }
 
+    /** Drops a request that has ended, and its times. */
+    void forget(std::unordered_map<exchange_id, pending>::iterator position)
+    {
+        m_times.erase({position->second.m_deadline, position->first});
+        m_times.erase({position->second.m_connect_until, position->first});
+        m_pending.erase(position);
+    }
+
     void set_time(instant when, exchange_id exchange)
     {
         m_times.emplace(when, exchange);
