Add: waxwingctl explain follows a request through the logs of all nodes

Cause: OPERATIONS.md led from an id to its cause by hand, with grep over the logs of many nodes; on call that is slow, and clocks can't order the lines.

Weighed: a query to the nodes (they keep no history); ordering by time stamps (clocks jump here). Taken: the ids of sub-calls extend their parent's, and the sub-calls of one run are all answered at one node, in one file's order.

Change: `waxwingctl explain ID LOG...` prints the tree and the decision that ended the request.

--- a/src/waxwingctl/command_func.h
+++ b/src/waxwingctl/command_func.h
@@ -23,7 +23,7 @@
 /** What the command line says. */
 struct command_options {
     std::vector<std::string> m_files;        ///< Files of a set.
-    std::string m_operand;                   ///< The revision or fingerprint.
+    std::string m_operand;                   ///< The fingerprint or the request's id.
     std::optional<std::uint64_t> m_revision; ///< `--revision`.
     std::optional<std::uint64_t> m_base;     ///< `--base`.
     std::optional<std::uint64_t> m_count;    ///< `--count`.
@@ -37,6 +37,8 @@
 
 /** Checks the files; needs no node. */
 exit_status run_check(const command_options& options);
+/** Shows the path of a request through the logs in the files; needs no node. */
+exit_status run_explain(const command_options& options);
 /** Shows what the files would change. */
 exit_status run_diff(api_client& node, const command_options& options);
 /** Publishes the files. */
--- a/src/waxwingctl/main.cpp
+++ b/src/waxwingctl/main.cpp
@@ -24,6 +24,7 @@
   waxwingctl drain [--node=ADDRESS] [--token-file=FILE] [--json] [--undo]
   waxwingctl release [--node=ADDRESS] [--token-file=FILE] [--json] FINGERPRINT
   waxwingctl top [--node=ADDRESS] [--token-file=FILE] [--json] [--count=N]
+  waxwingctl explain REQUEST FILE...
   waxwingctl (-h | --help)
   waxwingctl --version
 
@@ -42,6 +43,8 @@
   -h --help          Show this text.
   --version          Show the version.
 
+`explain` reads the JSON logs of the nodes and shows the path of a request, by its id, to the decision that ended it.
+
 Exit status: 0 done, 1 refused or invalid, 2 wrong usage, 3 node or platform out of reach and nothing changed,
 4 conflict with changes of others, 5 outcome unknown, 6 published but not in force everywhere in time.
 )";
@@ -117,7 +120,7 @@
         options.m_files = files->second.asStringList();
     }
     const char* const user = std::getenv("USER");
-    options.m_operand = text_of(given, "FINGERPRINT");
+    options.m_operand = text_of(given, "FINGERPRINT") + text_of(given, "REQUEST");
     options.m_change_id = text_of(given, "--change-id");
     options.m_who = text_of(given, "--who");
     if (options.m_who.empty()) {
@@ -144,6 +147,9 @@
     if (flag_of(given, "check")) {
         return run_check(*options);
     }
+    if (flag_of(given, "explain")) {
+        return run_explain(*options);
+    }
     const result<endpoint> address = parse_endpoint(text_of(given, "--node"));
     if (address.has_error()) {
         return refuse_usage("--node: " + address.error().m_text);
--- a/test/waxwingctl_test.cpp
+++ b/test/waxwingctl_test.cpp
@@ -212,3 +212,61 @@
     expect(node.run("status", "--json"), 0, "\"life\":\"serving\"");
     expect(node.run("top", "--count=1"), 0, "started/s");
 }
+
+namespace {
+
+/** Writes a log of one node and gives its path. */
+std::string write_log(const std::string& node, const std::string& text)
+{
+    const std::string path = "/tmp/waxwingctl-test-" + std::to_string(getpid()) + "-" + node + ".log";
+    std::ofstream(path) << text;
+    return path;
+}
+
+/** Makes the line of an entry. */
+std::string answered(const std::string& id, const std::string& status, const std::string& rule,
+                     const std::string& node)
+{
+    return json{{"event", 610},     {"request", id},    {"kind", "k"},     {"service", "s"}, {"rule", rule},
+                {"outcome", "ran"}, {"status", status}, {"attempts", "1"}, {"node", node},   {"took_ms", "7"},
+                {"depth", "0"},     {"revision", "4"},  {"threshold", "0"}}
+               .dump() +
+           "\n";
+}
+
+/** Makes the line of a node beside its target. */
+std::string run_ended(const std::string& id, const std::string& status, const std::string& rule)
+{
+    return json{{"event", 611},         {"request", id},    {"kind", "k"},      {"rule", rule},
+                {"outcome", "not-run"}, {"status", status}, {"waited_ms", "3"}, {"took_ms", "5"},
+                {"priority", "9"},      {"running", "39"},  {"queued", "50"},   {"limit", "39"},
+                {"threshold", "41"}}
+               .dump() +
+           "\n";
+}
+
+} // namespace
+
+Test(waxwingctl, explains_a_request_from_the_logs_of_its_nodes)
+{
+    const std::string a =
+        write_log("a", answered("r1", "500", "none", "b") + answered("r10", "200", "none", "b"));
+    const std::string b =
+        write_log("b", run_ended("r1", "500", "none") + answered("r1.x", "200", "none", "c") +
+                           answered("r1.y", "503", "queue-timeout", "c"));
+    const std::string c =
+        write_log("c", "not a line\n  12.5 node-c " + run_ended("r1.y", "503", "queue-timeout"));
+    const command_end told = run_tool("explain r1 " + c + " " + b + " " + a);
+    cr_assert(told.m_status == 0, "%s", told.m_output.c_str());
+    const std::size_t decided = told.m_output.find("decided by");
+    cr_assert(decided != std::string::npos);
+    cr_expect(told.m_output.find("node-c: k ended with 503, queue-timeout", decided) != std::string::npos);
+    cr_expect(told.m_output.find("running 39 of 39, queued 50", decided) != std::string::npos);
+    cr_expect(told.m_output.find("-a: k to s answered 500") < told.m_output.find("-b: k ended with 500"));
+    cr_expect(told.m_output.find("r10") == std::string::npos && told.m_output.find("answered 200") < decided);
+    const command_end unknown = run_tool("explain r2 " + a);
+    cr_expect(unknown.m_status == 1 && unknown.m_output.find("next:") != std::string::npos);
+    for (const std::string& path : {a, b, c}) {
+        cr_expect(std::remove(path.c_str()) == 0);
+    }
+}
