Fix: an operator's drain was forgotten when the target announced itself

Cause: `waxwingctl drain` raised the chart's event `drain`, which the state `absent` does not know: a node that had just started acknowledged the drain and took the target into work at its next announcement.

Ruled out: gossip that came late (the node's own log shows drain, then target-announced, starting, ready); a wrong count (the drained target's runs grew by the entries' requests).

Change: the target's task holds the wish to drain until it is undone, for every target that announces itself. A drain that a target announces for itself still ends with its life. A setting `advertised_links` says where other nodes reach a node's links, where a forwarder stands between; the soak's proxies are such.

--- a/src/node/control_task.cpp
+++ b/src/node/control_task.cpp
@@ -19,7 +19,7 @@
     made.m_node = settings.m_name;
     made.m_incarnation = life;
     made.m_gossip = settings.m_gossip;
-    made.m_link = settings.m_links;
+    made.m_link = settings.m_advertised_links.value_or(settings.m_links);
     made.m_region = settings.m_region;
     made.m_data_centre = settings.m_data_centre;
     return made;
--- a/src/node/operators_task.cpp
+++ b/src/node/operators_task.cpp
@@ -308,7 +308,7 @@
     const json body = json::parse(request.m_body, nullptr, false);
     const bool undo = body.is_object() && body.value("undo", false);
     log_event(event::operator_change, {{"what", undo ? "drain --undo" : "drain"}, {"who", "operator"}});
-    m_tasks.m_target.raise(undo ? "resume" : "drain");
+    m_tasks.m_target.hold_drained(!undo);
     answer_json(request.m_exchange, 200, {{"target", to_string(m_tasks.m_target.state())}});
 }
 
--- a/src/node/settings_func.h
+++ b/src/node/settings_func.h
@@ -32,13 +32,14 @@
     duration m_stop_limit = std::chrono::seconds(60); ///< Longest planned stop.
     std::string m_charts;                             ///< Folder of the state charts.
 
-    endpoint m_callers;                        ///< Callers' door.
-    endpoint m_links;                          ///< Links of other nodes.
-    endpoint m_gossip;                         ///< Datagrams of other nodes.
-    endpoint m_operators;                      ///< Operators' door.
-    std::size_t m_body_limit = 1024 * 1024;    ///< Longest body of a request, in bytes.
-    std::uint32_t m_caller_connections = 1000; ///< Callers' connections at once.
-    std::uint32_t m_descriptors = 0;           ///< Descriptors that the process may open; 0 is unknown.
+    endpoint m_callers;                         ///< Callers' door.
+    endpoint m_links;                           ///< Links of other nodes.
+    endpoint m_gossip;                          ///< Datagrams of other nodes.
+    std::optional<endpoint> m_advertised_links; ///< Where other nodes reach m_links, where it differs.
+    endpoint m_operators;                       ///< Operators' door.
+    std::size_t m_body_limit = 1024 * 1024;     ///< Longest body of a request, in bytes.
+    std::uint32_t m_caller_connections = 1000;  ///< Callers' connections at once.
+    std::uint32_t m_descriptors = 0;            ///< Descriptors that the process may open; 0 is unknown.
     sub_call_sign m_sub_calls = sub_call_sign::context; ///< How sub-calls are known.
 
     service_name m_service;            ///< What the target serves; empty until it announces itself.
--- a/src/node/table/settings.h
+++ b/src/node/table/settings.h
@@ -39,7 +39,7 @@
 inline constexpr std::uint64_t hour_ms = 3'600'000;        ///< Milliseconds.
 
 /** All settings. */
-inline constexpr std::array<setting_info, 25> settings_table{{
+inline constexpr std::array<setting_info, 26> settings_table{{
     {"node", "name", true, &node_settings::m_name, 1, most_name, "Name of the node, unique in the fleet"},
     {"node", "region", true, &node_settings::m_region, 1, most_name, "Region in which it runs"},
     {"node", "data_centre", true, &node_settings::m_data_centre, 1, most_name,
@@ -51,6 +51,8 @@
     {"listen", "callers", true, &node_settings::m_callers, 0, 0, "Address of the callers' door"},
     {"listen", "links", true, &node_settings::m_links, 0, 0, "TCP address for links of other nodes"},
     {"listen", "gossip", true, &node_settings::m_gossip, 0, 0, "UDP address for datagrams of other nodes"},
+    {"listen", "advertised_links", false, &node_settings::m_advertised_links, 0, 0,
+     "Address at which other nodes reach links, where a forwarder stands between"},
     {"listen", "operators", true, &node_settings::m_operators, 0, 0, "Address of the operators' door"},
     {"listen", "body_limit", false, &node_settings::m_body_limit, 1, most_body,
      "Longest request body, in bytes"},
--- a/src/node/target_task.cpp
+++ b/src/node/target_task.cpp
@@ -241,12 +241,21 @@
     }
 }
 
+void target_task::hold_drained(bool wanted)
+{
+    m_held_drained = wanted;
+    raise(wanted ? "drain" : "resume");
+}
+
 void target_task::raise(std::string_view name)
 {
     const std::vector<std::string> actions = m_life.raise(name);
     for (const std::string& action : actions) {
         act(action);
     }
+    if (m_held_drained && (state() == target_state::starting || state() == target_state::ready)) {
+        raise("drain");
+    }
     schedule();
 }
 
--- a/src/node/target_task_base.h
+++ b/src/node/target_task_base.h
@@ -50,6 +50,12 @@
     /** Raises the event @p name of the chart `target`: drain, resume, drained or node-stopped. */
     void raise(std::string_view name);
 
+    /**
+     * Drains the target, and whatever announces itself here later, or ends that. An operator's drain outlasts
+     * the target's restarts and may come before its first announcement.
+     */
+    void hold_drained(bool wanted);
+
     /** Gives the state in force. */
     target_state state() const;
 
@@ -74,7 +80,8 @@
     chart_life m_life;
     target_announcement m_target;
     announcement_order m_order;
-    bool m_speaks = false; ///< Whether the target itself tells when it is ready, so that no probe need.
+    bool m_held_drained = false; ///< Whether an operator wants the target drained.
+    bool m_speaks = false;       ///< Whether the target itself tells when it is ready, so that no probe need.
     std::uint32_t m_connections = 0; ///< By the configuration; 0 is what the target says.
     std::string m_health_path;
     std::string m_load_path;
--- a/test/process_test.py
+++ b/test/process_test.py
@@ -196,6 +196,20 @@
         self.assertEqual(order(port, "outage-2")[0], 200)
         self.assertEqual(executions(self.lab)["outage-2"], 1)
 
+    def test_an_operators_drain_holds_for_a_target_that_announces_itself_later(self):
+        drained = self.of("records")[0]
+        self.lab.kill(drained.target_process, signal.SIGKILL)
+        self.lab.kill(drained.node_process, signal.SIGKILL)
+        drained.node_process.wait()
+        self.lab.start_node(drained)
+        self.lab.wait("the node listens", lambda: self.lab.life(drained) is not None)
+        self.assertEqual(self.lab.control_tool("drain", node=drained).returncode, 0)
+        self.lab.start_target(drained)
+        self.lab.wait("the target is known", lambda: self.lab.status(drained).get("target") not in ("absent", None))
+        self.assertEqual(self.lab.status(drained)["target"], "draining")
+        self.assertEqual(self.lab.control_tool("drain", "--undo", node=drained).returncode, 0)
+        self.lab.wait("it takes work again", self.lab.all_ready)
+
     def test_settings_change_while_a_node_runs_and_wrong_ones_change_nothing(self):
         one = self.of("records")[0]
         path = self.lab.folder / f"{one.name}.ini"
--- a/tools/lab.py
+++ b/tools/lab.py
@@ -126,12 +126,20 @@
             f"charts = {ROOT / 'charts'}\n"
             f"[listen]\ncallers = {HOST}:{instance.callers}\nlinks = {HOST}:{instance.links}\n"
             f"gossip = {HOST}:{instance.gossip}\noperators = {HOST}:{instance.operators}\n"
-            f"caller_connections = 4000\n"
-            f"[platform]\nstore = {HOST}:{self.platform_port}\n"
+            f"caller_connections = 4000\n{self.more_listen(instance)}"
+            f"[platform]\nstore = {HOST}:{self.store_port(instance)}\n"
             f"[security]\nshared_key = {SHARED_KEY}\noperator_token = {OPERATOR_TOKEN}\n"
             f"[target]\nservice = {instance.service}\n")
         instance.node_process = self.spawn(f"node-{instance.name}", BUILD / "waxwingd", f"--settings={path}")
 
+    def store_port(self, _instance):
+        """Gives the port at which a node reaches the store."""
+        return self.platform_port
+
+    def more_listen(self, _instance):
+        """Gives further lines of a node's section `listen`."""
+        return ""
+
     def wait(self, what, condition, limit=START_LIMIT_S):
         """Waits until the condition holds."""
         end = time.monotonic() + limit
@@ -166,10 +174,10 @@
                 return False
         return True
 
-    def control_tool(self, *words):
-        """Runs waxwingctl against the first node; gives the finished process."""
+    def control_tool(self, *words, node=None):
+        """Runs waxwingctl against a node, the first where none is named; gives the finished process."""
         environment = dict(os.environ, WAXWING_TOKEN=OPERATOR_TOKEN)
-        address = f"--node={HOST}:{self.instances[0].operators}"
+        address = f"--node={HOST}:{(node or self.instances[0]).operators}"
         return subprocess.run([str(BUILD / "waxwingctl"), *map(str, words[:1]), address, *map(str, words[1:])],
                               env=environment, capture_output=True, text=True, timeout=60)
 
