Add: a soak that harms real processes at random and checks the promises

Cause: the process tests order one fault each; overlapping faults in series were only met on the users' bench.

Weighed: C++ (more code for processes and signals, nothing gained at 250 requests a second); proxies by namespaces (need privileges). Taken: Python beside the lab that the process tests use, and a TCP proxy of our own.

--- /dev/null
+++ b/test/soak_check_test.py
@@ -0,0 +1,122 @@
+"""The checks of the soak against histories that each break one promise: planted faults show that they can fail."""
+
+import pathlib
+import sys
+import unittest
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "soak"))
+from promises import (CONFIG_BOUND_S, DRAIN_BOUND_S, RECOVERY_BOUND_S, Accepted, Disturbance, Drain,  # noqa: E402
+                      History, Sending, Shown, Told, broken_promises)
+
+
+def order(number, told=Told.DONE, at=1.0, **more):
+    """Makes one order's sending."""
+    return Sending(f"r{number}", f"k{number}", "a", at, at + 0.1, told, answer_id=f"r{number}", **more)
+
+
+def sound():
+    """Makes a history that keeps every promise."""
+    history = History(faults_ended=5.0, ended=30.0)
+    history.sendings = [order(1), order(2, Told.NOT_RUN), order(3, Told.CUT, at=3.0),
+                        order(4, at=5.0 + RECOVERY_BOUND_S)]
+    history.runs = {"k1": 1, "k3": 1, "k4": 1}
+    history.total_runs = 6
+    history.disturbances = [Disturbance("kill", "a", 2.5, 3.5)]
+    history.drains = [Drain("b", 1.0, [(1.1, 10), (1.0 + DRAIN_BOUND_S, 12), (4.0, 12)])]
+    history.accepted = [Accepted(2, 4.0)]
+    history.shown = [Shown("a", 0, 1.0, 1), Shown("a", 1, 5.0 + RECOVERY_BOUND_S + CONFIG_BOUND_S, 2)]
+    return history
+
+
+class Checks(unittest.TestCase):
+    """Each plants one fault."""
+
+    def check(self, promise, history):
+        """Checks that just this promise is reported as broken."""
+        self.assertEqual({what.split(":")[0] for what in broken_promises(history)}, {promise})
+
+    def test_a_sound_history_breaks_nothing(self):
+        self.assertEqual(broken_promises(sound()), [])
+
+    def test_an_order_that_runs_twice(self):
+        history = sound()
+        history.runs["k1"] = 2
+        self.check("runs_once", history)
+
+    def test_a_false_refusal(self):
+        history = sound()
+        history.runs["k2"] = 1
+        self.check("refusals_are_true", history)
+
+    def test_a_refusal_after_an_unknown_end_is_no_lie(self):
+        history = sound()
+        history.sendings += [order(5, Told.UNKNOWN), order(5, Told.NOT_RUN, at=1.5)]
+        history.runs["k5"] = 1
+        self.assertEqual(broken_promises(history), [])
+
+    def test_an_answer_to_an_order_that_never_ran(self):
+        history = sound()
+        del history.runs["k1"]
+        self.check("done_is_true", history)
+
+    def test_the_answer_to_another_request(self):
+        history = sound()
+        history.sendings[0].answer_id = "r9"
+        self.check("answers_are_whole", history)
+
+    def test_a_part_of_an_answer(self):
+        history = sound()
+        history.sendings[0].whole = False
+        self.check("answers_are_whole", history)
+
+    def test_an_order_cut_by_a_planned_stop(self):
+        history = sound()
+        history.disturbances[0].planned = True
+        self.check("planned_stops_cut_nothing", history)
+
+    def test_work_for_a_drained_target(self):
+        history = sound()
+        history.drains[0].runs.append((5.0, 13))
+        self.check("drained_targets_rest", history)
+
+    def test_a_revision_that_is_late(self):
+        history = sound()
+        history.shown.insert(1, Shown("a", 0, 4.0 + CONFIG_BOUND_S, 1))
+        history.shown.append(Shown("a", 1, 60.0, 2))
+        history.faults_ended = 50.0
+        history.sendings.append(order(6, at=50.0 + RECOVERY_BOUND_S))
+        history.runs["k6"] = 1
+        history.disturbances[0].begun = history.disturbances[0].ended = 0.0
+        history.sendings[2].told = Told.DONE
+        self.check("revisions_come_into_force", history)
+
+    def test_a_revision_that_reverts(self):
+        history = sound()
+        history.shown += [Shown("a", 1, 39.0, 1), Shown("a", 1, 40.0, 2)]
+        history.accepted = []
+        self.check("revisions_never_revert", history)
+
+    def test_a_revision_that_is_lost(self):
+        history = sound()
+        history.shown[-1].revision = 1
+        history.disturbances.append(Disturbance("kill", "a", 30.0, 40.0))
+        self.check("accepted_revisions_last", history)
+
+    def test_too_many_repeats(self):
+        history = sound()
+        history.total_runs = 1000
+        self.check("repeats_are_bounded", history)
+
+    def test_a_deployment_that_does_not_recover(self):
+        history = sound()
+        history.sendings[3].told = Told.UNKNOWN
+        self.check("service_recovers", history)
+
+    def test_a_recovery_that_was_not_checked(self):
+        history = sound()
+        del history.sendings[3]
+        self.check("service_recovers", history)
+
+
+if __name__ == "__main__":
+    unittest.main(verbosity=2)
