Fix: a node that refuses is not asked again for its target that refused

Cause: read while reviewing the retries: a target that had refused stayed among those to ask again also when its node then refused (draining, gone). Such refusals cost no budget, so the entry went on asking it until the 64 tokens or the deadline were used up.

Ruled out: calls that never met a target's refusal; they ask each node once, as before.

Change: each attempt takes its node off the list; only another refusal by the target puts it back.

Measured: the new test fails without the change and passes with it; entry_test 11 of 11.

--- a/src/call/entry_attempt.cpp
+++ b/src/call/entry_attempt.cpp
@@ -88,10 +88,10 @@
 void entry::note_reached(open_call& current, const answer& given)
 {
     const bool refused = given.m_rule == rule::target_refused;
+    std::erase(current.m_refusers, current.m_node);
     if (given.m_state == run_state::not_run && !refused) {
         return;
     }
-    std::erase(current.m_refusers, current.m_node);
     if (refused) {
         current.m_refusers.push_back(current.m_node);
     }
--- a/test/entry_test.cpp
+++ b/test/entry_test.cpp
@@ -197,6 +197,15 @@
     }
 }
 
+Test(entry, a_target_whose_node_refuses_is_not_asked_again)
+{
+    entry_bench bench;
+    entry_action last = bench.arrive("/plain/x", {{"Id", "i"}});
+    bench.fail_once(last, rule::target_refused, run_state::not_run);
+    bench.fail_once(last, rule::target_refused, run_state::not_run);
+    cr_assert(bench.fail_all(last, rule::draining, run_state::not_run).size() == 2);
+}
+
 Test(entry, the_calls_of_a_repeated_run_are_repeats)
 {
     entry_bench bench;
