Fix: a node that came back without its target kept getting calls

Cause: routes were updated for the service that a member's new record names. A node that comes back without a target names none, so the service that it had served was not updated, and entries went on sending to it until another member of that service changed. Two things made it worse: a node without a target refused by `no-target`, which entries do not retry elsewhere, and calls four hops down held one or no retry token (64 halved twice a hop).

Ruled out: late gossip (the entry's log shows target=absent 9 s before); ejection (at most half of the targets).

Measured: the new process test fails without the change (503, no-target, at each call) and passes with it.

--- a/src/config/table/keys.h
+++ b/src/config/table/keys.h
@@ -64,7 +64,7 @@
 }};
 
 inline const std::array<key_info<retry_settings>, 5> retry_keys{{
-    {"tokens", value_at<&retry_settings::m_tokens>(), key_need::optional, "0", "100",
+    {"tokens", value_at<&retry_settings::m_tokens>(), key_need::optional, "0", "1000",
      "Retries for one whole request, over all hops"},
     {"budget_share", value_at<&retry_settings::m_budget_share>(), key_need::optional, "0", "1",
      "Repeats that reach a service's targets, as a share of the requests for it in 10 s"},
--- a/src/node/call_task.cpp
+++ b/src/node/call_task.cpp
@@ -52,7 +52,7 @@
       m_commands(loop, [this](call_command&& command) { on_command(std::move(command)); }),
       m_timer(loop, [this] { on_time(); })
 {
-    m_runner.close(rule::no_target, m_runner_actions);
+    m_runner.close(rule::target_unreachable, m_runner_actions);
 }
 
 result<void> call_task::listen()
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -147,10 +147,10 @@
 {
     log_event(event::target_state_changed, {{"from", std::string(to_string(m_own_target.m_state))},
                                             {"to", std::string(to_string(changed.m_state))}});
-    m_own_target = changed;
+    const service_name before = std::exchange(m_own_target, changed).m_service;
     m_calls.post(calls_set_target{changed.m_service, changed.m_slots, changed.m_instance});
     m_control.set_target(changed);
-    update_routes(changed.m_service);
+    update_routes(before, changed.m_service);
 }
 
 void node::on_control_output(control_output&& output)
@@ -175,7 +175,17 @@
         m_peers.put(record.m_node, record.m_link);
         greet(record);
     }
-    update_routes(record.m_service);
+    const service_name before = std::exchange(m_peer_services[record.m_node], record.m_service);
+    update_routes(before, record.m_service);
+}
+
+/** Updates the routes of a service that a node serves now, and of the one that it served before. */
+void node::update_routes(const service_name& before, const service_name& after)
+{
+    if (before != after) {
+        update_routes(before);
+    }
+    update_routes(after);
 }
 
 /** Tells a node that has just come of requests that crash targets, where this one is among those who do. */
--- a/src/node/node_base.h
+++ b/src/node/node_base.h
@@ -72,6 +72,7 @@
     void on_revision(const revision_in_force& taken);
     void greet(const member_record& record);
     void update_routes(const service_name& service);
+    void update_routes(const service_name& before, const service_name& after);
     void put_own_target(const target_changed& changed);
     void spread_suspects(const std::string& payload);
     void raise(std::string_view event_name);
@@ -90,6 +91,8 @@
     peer_task m_peers;
     operators_task m_operators;
     std::unordered_map<service_name, std::vector<node_id>> m_routes; ///< Targets that the entry may choose.
+    std::unordered_map<node_id, service_name>
+        m_peer_services;                              ///< What each other node served by its last record.
     std::unordered_map<node_id, incarnation> m_lives; ///< The life of each member that was last seen.
     target_changed m_own_target;
     instant m_stop_began{};
--- a/test/process_test.py
+++ b/test/process_test.py
@@ -73,6 +73,12 @@
         """Gives the instances of a service."""
         return [one for one in self.lab.instances if one.service == service]
 
+    @staticmethod
+    def metric(instance, name):
+        """Gives a metric without labels of an instance's node."""
+        text = request("GET", instance.operators, "/metrics")[1]
+        return next(float(line.split()[1]) for line in text.splitlines() if line.startswith(name + " "))
+
     def check_orders(self, *sendings):
         """Checks what callers were told over all sendings of each key against what the targets ran.
 
@@ -210,6 +216,23 @@
         self.assertEqual(self.lab.control_tool("drain", "--undo", node=drained).returncode, 0)
         self.lab.wait("it takes work again", self.lab.all_ready)
 
+    def test_a_node_that_comes_back_without_its_target_gets_no_calls(self):
+        bare, entry = self.of("records")[0], self.of("orders")[0]
+        self.lab.kill(bare.target_process, signal.SIGKILL)
+        self.lab.kill(bare.node_process, signal.SIGKILL)
+        bare.node_process.wait()
+        self.lab.start_node(bare)
+
+        def seen_without():
+            return any(member["node"] == bare.name and member["state"] == "alive" and member["target"] == "absent"
+                       for member in self.lab.status(entry).get("members", []))
+
+        self.lab.wait("the entry sees the node without a target", seen_without)
+        before = self.metric(entry, "waxwing_retries")
+        for number in range(20):
+            self.assertEqual(call(entry.callers, "records", "GET", f"/conditions/{number}")[0], 200)
+        self.assertEqual(self.metric(entry, "waxwing_retries"), before)
+
     def test_settings_change_while_a_node_runs_and_wrong_ones_change_nothing(self):
         one = self.of("records")[0]
         path = self.lab.folder / f"{one.name}.ini"
