Fix: the soak ordered a fault at a target that did not listen yet

No promise was broken. At the end, tasks of the proxies were destroyed while pending, with a line each.

Ruled out: a target that died (its log shows one start after the kill and no end).

Change: a target that is started again is waited for; the proxies' tasks are cancelled before their loop ends.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -93,7 +93,7 @@
         with self._soak.target_lock(instance):
             self._soak.count_runs(instance, last=True)
             self._soak.lab.kill(instance.target_process, signal.SIGKILL)
-            self._during("target killed", instance.name, lasts / 2, lambda: self._soak.lab.start_target(instance))
+            self._during("target killed", instance.name, lasts / 2, lambda: self._soak.start_target_again(instance))
 
     def _target(self, what, instance, lasts, ordered, usual):
         with self._soak.target_lock(instance):
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -109,9 +109,16 @@
         self._proxies.append(proxy)
         return proxy
 
+    async def _end(self):
+        for proxy in self._proxies:
+            proxy.close()
+        others = [task for task in asyncio.all_tasks() if task is not asyncio.current_task()]
+        for task in others:
+            task.cancel()
+        await asyncio.gather(*others, return_exceptions=True)
+
     def stop(self):
         """Ends all proxies."""
-        for proxy in self._proxies:
-            self._loop.call_soon_threadsafe(proxy.close)
+        asyncio.run_coroutine_threadsafe(self._end(), self._loop).result()
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -164,6 +164,11 @@
         self._started_at[instance.name] = self.now()
         self.lab.start_node(instance)
 
+    def start_target_again(self, instance):
+        """Starts an instance's target again and waits until it listens."""
+        self.lab.start_target(instance)
+        self.lab.wait(f"the target of {instance.name} listens", lambda: self.count_runs(instance) is not None)
+
     def age(self, instance):
         """Gives the seconds since an instance's node was started."""
         return self.now() - self._started_at.get(instance.name, 0.0)
