Fix: SIGHUP in the first milliseconds ended a node

Cause: waxwingd handles SIGHUP from the moment at which its settings are watched; before, the default ends the process.

Ruled out: the planned stop itself (the logs show no W102 of that process).

Change: the first line of main ignores SIGHUP; settings are read after it, and the watch that follows looks at the file again. SIGTERM keeps its default until then, since nothing was accepted. The soak sends SIGHUP to nodes that listen, and tells a node that does not listen yet from one that does by its answer, not by a time.

The window before main can't be closed by the program.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,7 +12,6 @@
 FAULT_LEAST_S = 0.3
 FAULT_MOST_S = 4.0
 STOP_LIMIT_S = 25.0    # A little more than the nodes' stop_limit.
-YOUNG_S = 1.0          # A process that has not begun to handle signals may be ended by them.
 DRAIN_WATCH_S = 1.5    # A drained target is watched so long after its bound.
 WATCH_STEP_S = 0.1
 
@@ -72,10 +71,11 @@
         """Stops a node as planned and starts it again."""
         with self._soak.node_lock(instance):
             leaving = instance.node_process
-            young = self._soak.age(instance) < YOUNG_S
+            young = self._soak.lab.life(instance) is None
 
             def wait_and_start():
                 code = leaving.wait(timeout=STOP_LIMIT_S)
+                # A node that does not listen yet may be ended by the signal: it has accepted nothing.
                 if code != 0 and not (young and code == -signal.SIGTERM):
                     self._soak.note_failure(f"the node {instance.name} ended its planned stop with {code}")
                 self._soak.start_again(instance)
@@ -86,7 +86,8 @@
     def reload_node(self, instance, _lasts, _random):
         """Has a node read its settings again, which are the same."""
         with self._soak.node_lock(instance):
-            self._soak.lab.kill(instance.node_process, signal.SIGHUP)
+            if self._soak.lab.life(instance) is not None:
+                self._soak.lab.kill(instance.node_process, signal.SIGHUP)
 
     def kill_target(self, instance, lasts, _random):
         """Kills a target and starts it again."""
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -133,7 +133,6 @@
         self._begun = time.monotonic()
         self._locks = {}
         self._starts = {}     # Number of the present start, by node.
-        self._started_at = {}
         self._runs = {}       # By target: the counts of processes that ended, and those of the present one.
         self._changes = 0
         self._change_lock = threading.Lock()
@@ -161,7 +160,6 @@
     def start_again(self, instance):
         """Starts an instance's node again."""
         self._starts[instance.name] = self._starts.get(instance.name, 0) + 1
-        self._started_at[instance.name] = self.now()
         self.lab.start_node(instance)
 
     def start_target_again(self, instance):
@@ -169,10 +167,6 @@
         self.lab.start_target(instance)
         self.lab.wait(f"the target of {instance.name} listens", lambda: self.count_runs(instance) is not None)
 
-    def age(self, instance):
-        """Gives the seconds since an instance's node was started."""
-        return self.now() - self._started_at.get(instance.name, 0.0)
-
     def order(self, instance, faults):
         """Orders faults at one target."""
         try:
--- a/src/waxwingd/main.cpp
+++ b/src/waxwingd/main.cpp
@@ -149,6 +149,7 @@
 
 int main(int count, char** arguments)
 {
+    std::signal(SIGHUP, SIG_IGN); // Until the settings are watched; the default would end the process.
     const std::vector<std::string> words(arguments + 1, arguments + count);
     const auto options = docopt::docopt(usage, words, true, std::string("waxwingd ") + WAXWING_VERSION);
     const std::string path = options.at("--settings").asString();
