Fix: the services of members that are gone are forgotten

Cause: read at the end: the table of what each member served kept an entry for every node that was ever seen, while the fleet's nodes come and go under new names.

Ruled out: an effect on routes; the entry goes after the routes of its service are updated.

Change: it is erased when the member is dead or has left.

Measured: process_test passes as a whole. Memory was not measured.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -168,7 +168,8 @@
     log_event(event::member_changed, {{"node", record.m_node.m_value},
                                       {"state", std::string(to_string(record.m_state))},
                                       {"target", std::string(to_string(record.m_target))}});
-    if (record.m_state == member_state::dead || record.m_state == member_state::left) {
+    const bool gone = record.m_state == member_state::dead || record.m_state == member_state::left;
+    if (gone) {
         m_peers.remove(record.m_node);
     }
     else {
@@ -177,6 +178,9 @@
     }
     const service_name before = std::exchange(m_peer_services[record.m_node], record.m_service);
     update_routes(before, record.m_service);
+    if (gone) {
+        m_peer_services.erase(record.m_node);
+    }
 }
 
 /** Updates the routes of a service that a node serves now, and of the one that it served before. */
--- a/src/node/node_base.h
+++ b/src/node/node_base.h
@@ -91,8 +91,7 @@
     peer_task m_peers;
     operators_task m_operators;
     std::unordered_map<service_name, std::vector<node_id>> m_routes; ///< Targets that the entry may choose.
-    std::unordered_map<node_id, service_name>
-        m_peer_services;                              ///< What each other node served by its last record.
+    std::unordered_map<node_id, service_name> m_peer_services; ///< Served by each other node, as last told.
     std::unordered_map<node_id, incarnation> m_lives; ///< The life of each member that was last seen.
     target_changed m_own_target;
     instant m_stop_began{};
