Codechange: which routes a member concerns is derived, and files are read by one function

Ruled out: a change of the chosen subset where a node that was a candidate but not chosen goes; the subset is the same.

Change: update_routes_to looks the node up in the routes; the table is gone. read_file stands in the node library.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -4,8 +4,6 @@
 #include "events/events.h"
 
 #include <algorithm>
-#include <fstream>
-#include <sstream>
 
 namespace waxwing {
 
@@ -22,25 +20,13 @@
 constexpr std::size_t greeter_count = 3; ///< Nodes that tell a new one of requests that crash targets.
 constexpr duration overload_interval = std::chrono::seconds(1);
 
-/** Reads the whole file @p path. */
-result<std::string> read_file(const std::string& path)
-{
-    std::ifstream stream(path, std::ios::binary);
-    if (!stream) {
-        return fail(error_code::not_found, "can't be opened");
-    }
-    std::ostringstream text;
-    text << stream.rdbuf();
-    return std::move(text).str();
-}
-
 /** Reads the chart of @p subject in @p folder; errors are added to @p errors. */
 chart read_chart(const std::string& folder, chart_subject subject, located_errors& errors)
 {
     const std::string path = folder + "/" + std::string(chart_file(subject));
-    const result<std::string> text = read_file(path);
-    if (text.has_error()) {
-        errors.push_back({path, 0, text.error().m_text});
+    const std::optional<std::string> text = read_file(path);
+    if (!text.has_value()) {
+        errors.push_back({path, 0, "can't be opened"});
         return {};
     }
     result<chart, located_errors> read =
@@ -147,10 +133,10 @@
 {
     log_event(event::target_state_changed, {{"from", std::string(to_string(m_own_target.m_state))},
                                             {"to", std::string(to_string(changed.m_state))}});
-    const service_name before = std::exchange(m_own_target, changed).m_service;
+    m_own_target = changed;
     m_calls.post(calls_set_target{changed.m_service, changed.m_slots, changed.m_instance});
     m_control.set_target(changed);
-    update_routes(before, changed.m_service);
+    update_routes_to(m_settings.m_name, changed.m_service);
 }
 
 void node::on_control_output(control_output&& output)
@@ -168,28 +154,28 @@
     log_event(event::member_changed, {{"node", record.m_node.m_value},
                                       {"state", std::string(to_string(record.m_state))},
                                       {"target", std::string(to_string(record.m_target))}});
-    const bool gone = record.m_state == member_state::dead || record.m_state == member_state::left;
-    if (gone) {
+    if (record.m_state == member_state::dead || record.m_state == member_state::left) {
         m_peers.remove(record.m_node);
     }
     else {
         m_peers.put(record.m_node, record.m_link);
         greet(record);
     }
-    const service_name before = std::exchange(m_peer_services[record.m_node], record.m_service);
-    update_routes(before, record.m_service);
-    if (gone) {
-        m_peer_services.erase(record.m_node);
-    }
+    update_routes_to(record.m_node, record.m_service);
 }
 
-/** Updates the routes of a service that a node serves now, and of the one that it served before. */
-void node::update_routes(const service_name& before, const service_name& after)
+/** Updates the routes of the service that @p changed serves now, and of those that still lead to it. */
+void node::update_routes_to(const node_id& changed, const service_name& serves)
 {
-    if (before != after) {
-        update_routes(before);
+    std::vector<service_name> concerned{serves};
+    for (const auto& [service, used] : m_routes) {
+        if (service != serves && std::find(used.begin(), used.end(), changed) != used.end()) {
+            concerned.push_back(service);
+        }
+    }
+    for (const service_name& service : concerned) {
+        update_routes(service);
     }
-    update_routes(after);
 }
 
 /** Tells a node that has just come of requests that crash targets, where this one is among those who do. */
--- a/src/node/node_base.h
+++ b/src/node/node_base.h
@@ -72,7 +72,7 @@
     void on_revision(const revision_in_force& taken);
     void greet(const member_record& record);
     void update_routes(const service_name& service);
-    void update_routes(const service_name& before, const service_name& after);
+    void update_routes_to(const node_id& changed, const service_name& serves);
     void put_own_target(const target_changed& changed);
     void spread_suspects(const std::string& payload);
     void raise(std::string_view event_name);
@@ -91,7 +91,6 @@
     peer_task m_peers;
     operators_task m_operators;
     std::unordered_map<service_name, std::vector<node_id>> m_routes; ///< Targets that the entry may choose.
-    std::unordered_map<node_id, service_name> m_peer_services; ///< Served by each other node, as last told.
     std::unordered_map<node_id, incarnation> m_lives; ///< The life of each member that was last seen.
     target_changed m_own_target;
     instant m_stop_began{};
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -6,8 +6,10 @@
 #include <ini.h>
 
 #include <charconv>
+#include <fstream>
 #include <map>
 #include <set>
+#include <sstream>
 #include <utility>
 
 namespace waxwing {
@@ -256,6 +258,17 @@
     return done;
 }
 
+std::optional<std::string> read_file(const std::string& path)
+{
+    std::ifstream stream(path, std::ios::binary);
+    if (!stream) {
+        return std::nullopt;
+    }
+    std::ostringstream text;
+    text << stream.rdbuf();
+    return std::move(text).str();
+}
+
 result<node_settings, located_errors> read_settings(const std::string& file, const std::string& text)
 {
     reading state;
--- a/src/node/settings_func.h
+++ b/src/node/settings_func.h
@@ -73,6 +73,9 @@
  */
 settings_change apply_settings(const node_settings& wanted, node_settings& in_force);
 
+/** Reads the whole file @p path; none where it can't be opened. Thread safety: pure but for the file. */
+std::optional<std::string> read_file(const std::string& path);
+
 /** Reads and checks settings. @return them, or every error with file and line. Thread safety: pure. */
 result<node_settings, located_errors> read_settings(const std::string& file, const std::string& text);
 
--- a/src/waxwingd/main.cpp
+++ b/src/waxwingd/main.cpp
@@ -7,9 +7,7 @@
 #include <docopt/docopt.h>
 
 #include <csignal>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 using namespace waxwing;
 
@@ -46,18 +44,6 @@
     }
 }
 
-/** Reads the text of @p path; none where it can't be opened. */
-std::optional<std::string> read_text(const std::string& path)
-{
-    std::ifstream stream(path, std::ios::binary);
-    if (!stream) {
-        return std::nullopt;
-    }
-    std::ostringstream text;
-    text << stream.rdbuf();
-    return std::move(text).str();
-}
-
 /** Reads the settings in @p text, which came from @p path. */
 result<node_settings, located_errors> parse_settings(const std::string& path,
                                                      const std::optional<std::string>& text)
@@ -76,7 +62,7 @@
 class settings_watch {
 public:
     settings_watch(event_loop& loop, node& served, std::string path)
-        : m_served(served), m_path(std::move(path)), m_text(read_text(m_path)),
+        : m_served(served), m_path(std::move(path)), m_text(read_file(m_path)),
           m_timer(loop, [this] { look(); })
     {
         m_timer.set(settings_poll_interval);
@@ -86,7 +72,7 @@
     void look()
     {
         m_timer.set(settings_poll_interval);
-        std::optional<std::string> text = read_text(m_path);
+        std::optional<std::string> text = read_file(m_path);
         if (text == m_text) {
             return;
         }
@@ -153,7 +139,7 @@
     const std::vector<std::string> words(arguments + 1, arguments + count);
     const auto options = docopt::docopt(usage, words, true, std::string("waxwingd ") + WAXWING_VERSION);
     const std::string path = options.at("--settings").asString();
-    const result<node_settings, located_errors> settings = parse_settings(path, read_text(path));
+    const result<node_settings, located_errors> settings = parse_settings(path, read_file(path));
     if (settings.has_error()) {
         print_errors(settings.error());
         return settings_refused_status;
