Codechange: both ends of HTTP share their socket loop, header checks and owned connections

Cause: client and server connections each had a check of header text, a loop that sends, a loop that copies parsed fields, and the client and server tasks each the same way of destroying a connection in the loop's next step.

Ruled out: one base class for both connections; their reading and phases differ.

Change: message_func.h (append_field, to_headers, send_rest, read_size) and connection_set serve both.

Measured: http_test, http_wire_test and the process tests pass unchanged.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -1,6 +1,8 @@
 /** @file client_connection.cpp One connection of an HTTP client to a server. */
 #include "http/client_connection_base.h"
 
+#include "http/message_func.h"
+
 #include <sys/socket.h>
 
 #include <array>
@@ -14,17 +16,10 @@
 
 namespace beast_http = boost::beast::http;
 
-constexpr std::size_t read_size = 64 * 1024;          ///< Bytes that one read takes at most.
 constexpr std::uint32_t header_limit = 256 * 1024;    ///< Longest header of an answer, in bytes.
 constexpr unsigned first_final_status = 200;          ///< Lower ones announce a later answer.
 constexpr std::string_view timeout_word = "timeout="; ///< In the field Keep-Alive.
 
-/** Tells whether @p text can stand in a header field without breaking it. */
-bool is_safe_in_header(const std::string& text)
-{
-    return text.find_first_of(std::string_view("\r\n\0", 3)) == std::string::npos;
-}
-
 /** Reads the idle time-out of a Keep-Alive field; none where it names none. */
 std::optional<duration> read_keep_alive(std::string_view text)
 {
@@ -91,9 +86,8 @@
         m_out += "Host: " + to_string(request.m_address) + "\r\n";
     }
     for (const header& field : request.m_headers) {
-        const bool safe = is_safe_in_header(field.m_name) && is_safe_in_header(field.m_value);
-        if (safe && !equal_ignoring_case(field.m_name, "Content-Length")) {
-            m_out += field.m_name + ": " + field.m_value + "\r\n";
+        if (!equal_ignoring_case(field.m_name, "Content-Length")) {
+            append_field(m_out, field);
         }
     }
     if (!request.m_body.empty() || always_has_length(request.m_method)) {
@@ -124,21 +118,9 @@
 
 void client_connection::send_out()
 {
-    while (m_sent < m_out.size()) {
-        const ssize_t count =
-            ::send(m_socket.get(), m_out.data() + m_sent, m_out.size() - m_sent, MSG_NOSIGNAL);
-        if (count < 0 && errno == EINTR) {
-            continue;
-        }
-        if (count < 0 && errno == EAGAIN) {
-            return;
-        }
-        if (count < 0) {
-            m_failure = std::strerror(errno);
-            m_failure_notice.wake();
-            return;
-        }
-        m_sent += static_cast<std::size_t>(count);
+    if (!send_rest(m_socket.get(), m_out, m_sent)) {
+        m_failure = std::strerror(errno);
+        m_failure_notice.wake();
     }
 }
 
@@ -234,9 +216,7 @@
     http_answer given;
     given.m_exchange = m_request->m_exchange;
     given.m_status = static_cast<std::uint16_t>(message.result_int());
-    for (const auto& field : message) {
-        given.m_headers.push_back({std::string(field.name_string()), std::string(field.value())});
-    }
+    given.m_headers = to_headers(message);
     given.m_body = std::move(message.body());
     const bool clean = !ends_by_close && message.keep_alive() && m_in.empty() && m_sent == m_out.size();
     if (!clean) {
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -1,5 +1,6 @@
 /** @file http_client.cpp The HTTP client task: its connections and the requests that wait for one. */
 #include "http/client_connection_base.h"
+#include "http/connection_set_base.h"
 
 #include <algorithm>
 #include <deque>
@@ -20,8 +21,8 @@
 class beast_client final : public http_client {
 public:
     beast_client(event_loop& loop, const http_client_settings& settings, handler on_event)
-        : m_loop(loop), m_settings(settings), m_events(loop, std::move(on_event)),
-          m_reaper(loop, [this] { m_closed.clear(); }), m_timer(loop, [this] { on_timer(); })
+        : m_loop(loop), m_settings(settings), m_events(loop, std::move(on_event)), m_connections(loop),
+          m_timer(loop, [this] { on_timer(); })
     {
     }
 
@@ -97,11 +98,8 @@
         on.m_on_end = [this](client_connection& connection, exchange_end how, http_answer&& given,
                              const std::string& why) { on_end(connection, how, std::move(given), why); };
         on.m_on_closed = [this](client_connection& connection) { retire(connection); };
-        auto made =
-            std::make_unique<client_connection>(m_loop, address, m_settings.m_body_limit, std::move(on));
-        client_connection* const raw = made.get();
-        m_connections.emplace(raw, std::move(made));
-        return raw;
+        return m_connections.add(
+            std::make_unique<client_connection>(m_loop, address, m_settings.m_body_limit, std::move(on)));
     }
 
     /** Closes the connection that has been idle for longest. @return false where none is idle. */
@@ -120,13 +118,7 @@
     void retire(client_connection& connection)
     {
         m_idle.erase(std::remove(m_idle.begin(), m_idle.end(), &connection), m_idle.end());
-        const auto position = m_connections.find(&connection);
-        if (position == m_connections.end()) {
-            return;
-        }
-        m_closed.push_back(std::move(position->second));
-        m_connections.erase(position);
-        m_reaper.wake();
+        m_connections.retire(connection);
     }
 
     void on_end(client_connection& connection, exchange_end how, http_answer&& given, const std::string& why)
@@ -253,14 +245,12 @@
     event_loop& m_loop;
     http_client_settings m_settings;
     mailbox<http_client_event> m_events;
-    std::unordered_map<client_connection*, std::unique_ptr<client_connection>> m_connections;
-    std::vector<std::unique_ptr<client_connection>> m_closed; ///< To be destroyed.
-    std::deque<client_connection*> m_idle;                    ///< Longest idle first.
+    connection_set<client_connection> m_connections;
+    std::deque<client_connection*> m_idle; ///< Longest idle first.
     std::unordered_map<exchange_id, pending> m_pending;
     std::deque<exchange_id> m_waiting;                 ///< Requests without a connection, oldest first.
     std::set<std::pair<instant, exchange_id>> m_times; ///< When on_timer is to look at which request.
     instant m_due{};                                   ///< For when the timer is set.
-    wakeup m_reaper;
     timer m_timer;
 };
 
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -1,4 +1,5 @@
 /** @file http_server.cpp The HTTP server task: its listener and its connections. */
+#include "http/connection_set_base.h"
 #include "http/server_connection_base.h"
 
 #include <unordered_map>
@@ -15,7 +16,7 @@
 public:
     beast_server(event_loop& loop, const http_server_settings& settings, handler on_event)
         : m_shared{loop, settings, false, {}, {}, {}, {}, {}}, m_events(loop, std::move(on_event)),
-          m_accept(loop, [this](int) { accept_some(); }), m_reaper(loop, [this] { m_closed.clear(); })
+          m_accept(loop, [this](int) { accept_some(); }), m_connections(loop)
     {
         m_shared.m_begin = [this](server_connection& connection) {
             const exchange_id id{++m_last_exchange};
@@ -102,10 +103,8 @@
             if (m_connections.size() >= limit && !m_idle.empty()) {
                 m_idle.front()->close();
             }
-            auto made = std::make_unique<server_connection>(m_shared, std::move(accepted).value(),
-                                                            m_connections.size() >= limit);
-            server_connection* const raw = made.get();
-            m_connections.emplace(raw, std::move(made));
+            m_connections.add(std::make_unique<server_connection>(m_shared, std::move(accepted).value(),
+                                                                  m_connections.size() >= limit));
         }
     }
 
@@ -131,14 +130,8 @@
     void retire(server_connection& connection)
     {
         note_idle(connection, false);
-        const auto position = m_connections.find(&connection);
-        if (position == m_connections.end()) {
-            return;
-        }
-        m_closed.push_back(std::move(position->second));
-        m_connections.erase(position);
-        m_reaper.wake();
-        if (!m_accepting && m_listener.get() >= 0) {
+        const bool retired = m_connections.retire(connection);
+        if (retired && !m_accepting && m_listener.get() >= 0) {
             m_accepting = true;
             m_accept.watch(m_listener.get(), EV_READ);
         }
@@ -149,10 +142,8 @@
     descriptor m_listener;
     io_watcher m_accept;
     bool m_accepting = true; ///< Whether m_accept watches the listener.
-    wakeup m_reaper;
-    std::unordered_map<server_connection*, std::unique_ptr<server_connection>> m_connections;
-    std::vector<std::unique_ptr<server_connection>> m_closed; ///< To be destroyed.
-    std::list<server_connection*> m_idle;                     ///< Longest idle first.
+    connection_set<server_connection> m_connections;
+    std::list<server_connection*> m_idle; ///< Longest idle first.
     std::unordered_map<exchange_id, server_connection*> m_exchanges;
     std::uint64_t m_last_exchange = 0;
 };
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -1,6 +1,8 @@
 /** @file server_connection.cpp One client's connection to an HTTP server. */
 #include "http/server_connection_base.h"
 
+#include "http/message_func.h"
+
 #include <boost/beast/http/status.hpp>
 
 #include <sys/socket.h>
@@ -15,9 +17,8 @@
 
 namespace beast_http = boost::beast::http;
 
-constexpr std::size_t read_size = 64 * 1024; ///< Bytes that one read takes at most.
-constexpr int read_rounds = 4;               ///< Reads in a row, so that other connections get their turn.
-constexpr std::size_t pipeline_limit = 64;   ///< Requests that wait for their replies on one connection.
+constexpr int read_rounds = 4;             ///< Reads in a row, so that other connections get their turn.
+constexpr std::size_t pipeline_limit = 64; ///< Requests that wait for their replies on one connection.
 constexpr std::size_t output_limit = 4 * 1024 * 1024; ///< Bytes to be sent above which nothing more is read.
 constexpr duration linger_limit = std::chrono::milliseconds(500); ///< Wait for the client to close first.
 constexpr unsigned first_status = 100;
@@ -33,12 +34,6 @@
            equal_ignoring_case(name, "Connection") || equal_ignoring_case(name, "Keep-Alive");
 }
 
-/** Tells whether @p text would break the header. */
-bool breaks_header(const std::string& text)
-{
-    return text.find_first_of(std::string_view("\r\n\0", 3)) != std::string::npos;
-}
-
 /** Gives the status by which a request that can't be parsed is refused. */
 unsigned status_of(const boost::beast::error_code& fault)
 {
@@ -169,9 +164,7 @@
     request.m_exchange = m_shared.m_begin(*this);
     request.m_method = std::string(message.method_string());
     request.m_path = std::string(message.target());
-    for (const auto& field : message) {
-        request.m_headers.push_back({std::string(field.name_string()), std::string(field.value())});
-    }
+    request.m_headers = to_headers(message);
     request.m_body = oversize ? std::string{} : std::move(message.body());
     request.m_oversize = oversize;
     request.m_peer = m_peer;
@@ -229,9 +222,8 @@
     m_out.append(reason.data(), reason.size());
     m_out += "\r\n";
     for (const header& field : reply.m_headers) {
-        if (!is_framing_field(field.m_name) && !breaks_header(field.m_name) &&
-            !breaks_header(field.m_value)) {
-            m_out += field.m_name + ": " + field.m_value + "\r\n";
+        if (!is_framing_field(field.m_name)) {
+            append_field(m_out, field);
         }
     }
     const bool bodiless = status == no_content || status == not_modified;
@@ -250,22 +242,18 @@
 
 void server_connection::send_out()
 {
-    while (m_sent < m_out.size()) {
-        const ssize_t count =
-            send(m_socket.get(), m_out.data() + m_sent, m_out.size() - m_sent, MSG_NOSIGNAL);
-        if (count < 0 && errno == EINTR) {
-            continue;
-        }
-        if (count < 0 && errno == EAGAIN) {
-            return;
-        }
-        if (count < 0) {
-            close();
-            return;
-        }
-        m_sent += static_cast<std::size_t>(count);
+    const std::size_t before = m_sent;
+    const bool healthy = send_rest(m_socket.get(), m_out, m_sent);
+    if (m_sent > before) {
         m_active = event_loop::now();
     }
+    if (!healthy) {
+        close();
+        return;
+    }
+    if (m_sent < m_out.size()) {
+        return;
+    }
     m_out.clear();
     m_sent = 0;
     finish_output();
