--- a/src/base/base.cpp
+++ b/src/base/base.cpp
@@ -3,6 +3,7 @@
 
 #include "base/table/rules.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <charconv>
 
@@ -108,6 +109,12 @@
     return true;
 }
 
+std::string to_lower(std::string text)
+{
+    std::transform(text.begin(), text.end(), text.begin(), [](char letter) { return to_lower(letter); });
+    return text;
+}
+
 const std::string* find_header(const header_list& headers, std::string_view name)
 {
     for (const header& field : headers) {
--- a/src/base/call_type.h
+++ b/src/base/call_type.h
@@ -27,6 +27,9 @@
 /** Tells whether @p a and @p b are the same but for the case of ASCII letters. */
 bool equal_ignoring_case(std::string_view a, std::string_view b);
 
+/** Gives @p text with its ASCII letters in lower case. Thread safety: pure. */
+std::string to_lower(std::string text);
+
 /**
  * How much a request matters, as one number that every hop compares alike: the importance of its kind in the
  * high byte, its cohort in the low one. Greater is shed later.
--- a/src/call/context_func.cpp
+++ b/src/call/context_func.cpp
@@ -33,12 +33,6 @@
 constexpr std::array<std::string_view, 7> own_fields{
     context_field, deadline_field, kind_field, caller_field, outcome_field, rule_field, "Proxy-Connection"};
 
-/** Turns an upper-case ASCII letter into the lower-case one. */
-char to_lower(char letter)
-{
-    return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
-}
-
 /** Appends @p value to @p text with all digits. */
 void append_id(std::string& text, std::uint64_t value)
 {
@@ -123,8 +117,7 @@
     if (!read_name(headers, "Host", fields.m_host) || fields.m_host.empty()) {
         return bad_field("Host");
     }
-    fields.m_host = fields.m_host.substr(0, fields.m_host.find(':'));
-    std::transform(fields.m_host.begin(), fields.m_host.end(), fields.m_host.begin(), to_lower);
+    fields.m_host = to_lower(fields.m_host.substr(0, fields.m_host.find(':')));
     if (!read_name(headers, kind_field, fields.m_kind.m_value)) {
         return bad_field(kind_field);
     }
