Codechange: explain stands in a command file and shares the reader of texts

Cause: trace_func.cpp held the command `explain` beside explain_func.cpp, with a twin of its text_in.

Ruled out: merging the files; one explains failed calls, the other a request.

Change: renamed to explain_cmd.cpp; text_in is declared once.

--- a/src/waxwingctl/command_func.h
+++ b/src/waxwingctl/command_func.h
@@ -58,6 +58,9 @@
 /** Shows the load of the node each second. */
 exit_status run_top(api_client& node, const command_options& options);
 
+/** Gives the text @p key of @p content; empty where there is none. */
+std::string text_in(const nlohmann::json& content, const char* key);
+
 /** Tells the operator why @p answer is no success and what to do next. */
 exit_status explain(const result<api_answer>& answer, const command_options& options);
 
--- a/src/waxwingctl/trace_func.cpp
+++ b/src/waxwingctl/explain_cmd.cpp
@@ -1,4 +1,4 @@
-/** @file trace_func.cpp The path of one request through the logs of many nodes. */
+/** @file explain_cmd.cpp The path of one request through the logs of many nodes. */
 #include "waxwingctl/command_func.h"
 
 #include <algorithm>
@@ -32,13 +32,6 @@
 /** Calls by id. */
 using logged_calls = std::map<std::string, logged_call>;
 
-/** Gives the text of the field @p name; empty where there is none. */
-std::string text_in(const json& fields, const char* name)
-{
-    const auto found = fields.find(name);
-    return found != fields.end() && found->is_string() ? found->get<std::string>() : "";
-}
-
 /** Tells whether @p id names the call @p root or one below it. */
 bool is_within(const std::string& id, const std::string& root)
 {
--- a/src/waxwingctl/explain_func.cpp
+++ b/src/waxwingctl/explain_func.cpp
@@ -13,14 +13,6 @@
 constexpr std::uint16_t status_unavailable = 503;
 constexpr std::uint16_t status_timeout = 504;
 
-/** Gives the text @p key of @p content; empty where there is none. */
-std::string text_in(const nlohmann::json& content, const char* key)
-{
-    const auto found = content.is_object() ? content.find(key) : content.end();
-    return content.is_object() && found != content.end() && found->is_string() ? found->get<std::string>()
-                                                                               : "";
-}
-
 /** Prints each element of the list @p key. */
 void print_list(const nlohmann::json& content, const char* key)
 {
@@ -51,6 +43,13 @@
 
 } // namespace
 
+std::string text_in(const nlohmann::json& content, const char* key)
+{
+    const auto found = content.is_object() ? content.find(key) : content.end();
+    return content.is_object() && found != content.end() && found->is_string() ? found->get<std::string>()
+                                                                               : "";
+}
+
 bool is_success(const result<api_answer>& answer)
 {
     constexpr std::uint16_t status_ok = 200;
