Codechange: the soak records nothing that no check reads

Cause: two fields of the history were written and never read, and a comment promised a check that does not exist.

Ruled out: a lost check; planned_stops_cut_nothing judges orders that ran, as before.

Change: the fields are gone, the comment says what is checked; the tests' assertions are as they were.

--- a/soak/promises.py
+++ b/soak/promises.py
@@ -33,7 +33,6 @@
     told: Told
     answer_id: str = ""    # The id that the answer names.
     whole: bool = True     # Whether the answer is as long as it says.
-    kept: bool = False     # Whether its connection had served a request before.
 
 
 @dataclasses.dataclass
@@ -88,7 +87,6 @@
     accepted: list = dataclasses.field(default_factory=list)
     shown: list = dataclasses.field(default_factory=list)
     faults_ended: float = 0.0
-    ended: float = 0.0
 
 
 def is_calm(history, begun, ended, planned_too=False):
@@ -129,7 +127,7 @@
 
 
 def planned_stops_cut_nothing(history):
-    """A planned stop with no other disturbance breaks off no order that ran, and no first request of a connection."""
+    """A planned stop with no other disturbance breaks off no order that ran."""
     broken = []
     for one in history.sendings:
         if one.told is not Told.CUT or not is_calm(history, one.sent, one.ended):
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -70,19 +70,19 @@
         while not self._soak.stopping.is_set():
             entry = self._random.choice(self._soak.lab.instances)
             connection = http.client.HTTPConnection(HOST, entry.callers, timeout=ANSWER_LIMIT_S)
-            for place in range(self._random.randint(1, KEPT_MOST)):
-                if self._soak.stopping.is_set() or not self._send_one(connection, entry, place > 0):
+            for _ in range(self._random.randint(1, KEPT_MOST)):
+                if self._soak.stopping.is_set() or not self._send_one(connection, entry):
                     break
                 time.sleep(self._random.uniform(*PAUSE_S))
             connection.close()
 
-    def _send_one(self, connection, entry, kept):
+    def _send_one(self, connection, entry):
         """Sends a lookup, or an order until it is done or may not be sent again. False where the connection ended."""
         self._count += 1
         is_order = self._random.random() < ORDER_SHARE
         key = f"c{self._number}-{self._count}" if is_order else ""
         for sending in range(SENDINGS_MOST if is_order else 1):
-            told = self._exchange(connection, entry, key, f"c{self._number}-{self._count}.{sending}", kept)
+            told = self._exchange(connection, entry, key, f"c{self._number}-{self._count}.{sending}")
             if told is Told.CUT:
                 return False
             if told is not Told.NOT_RUN:
@@ -90,12 +90,12 @@
             time.sleep(self._random.uniform(*PAUSE_S))
         return True
 
-    def _exchange(self, connection, entry, key, request_id, kept):
+    def _exchange(self, connection, entry, key, request_id):
         headers = {"Host": "orders" if key else "records", "X-Request-Id": request_id,
                    "Waxwing-Deadline-Ms": str(DEADLINE_MS)}
         if key:
             headers["Idempotency-Key"] = key
-        one = Sending(request_id, key, entry.name, self._soak.now(), 0.0, Told.CUT, kept=kept)
+        one = Sending(request_id, key, entry.name, self._soak.now(), 0.0, Told.CUT)
         try:
             if key:
                 connection.request("POST", "/orders/1", body=key, headers=headers)
@@ -254,7 +254,6 @@
             self.stopping.set()
             self.lab.stop()
             proxies.stop()
-        self.history.ended = self.now()
         return self.failures + broken_promises(self.history)
 
     def _sum_runs(self):
--- a/test/soak_check_test.py
+++ b/test/soak_check_test.py
@@ -16,7 +16,7 @@
 
 def sound():
     """Makes a history that keeps every promise."""
-    history = History(faults_ended=5.0, ended=30.0)
+    history = History(faults_ended=5.0)
     history.sendings = [order(1), order(2, Told.NOT_RUN), order(3, Told.CUT, at=3.0),
                         order(4, at=5.0 + RECOVERY_BOUND_S)]
     history.runs = {"k1": 1, "k3": 1, "k4": 1}
