Change: three nodes of each data centre watch the configuration

Every node held a feed, so that each change woke all of them; every node wrote its row each 30 s and read all rows each minute. All of that grows with the nodes, and 570 of them would need 57 page reads a second for nothing.

Ruled out: a lease on the office of a watcher (writes, and nobody watches until a dead holder's lease ends), polling within the bound (more calls than the feeds), one watcher for the fleet (a bound missed whenever it dies).

Change: watch_election ranks the alive members of the own data centre by a hash of their names; the first three watch. A node that hears nothing for 2.5 s, knows nobody or is isolated watches by itself. A node that puts a revision in force tells six members at once. A fetch from a peer that stays silent for 500 ms (2 s before) is followed by another peer and by a read of the head row. The own row is written until acknowledged and then every 10 min; some four nodes a minute read all rows; the reader deletes the row of a member that has been dead for an hour. A revision that a member puts in force is an action of its own: before, each such note made every node compute its routes anew, which costs the square of the fleet for each change.

--- a/bench/member/main.cpp
+++ b/bench/member/main.cpp
@@ -125,7 +125,8 @@
     });
     for (std::size_t index = 0; index < count; ++index) {
         network.run(5s / static_cast<int>(count));
-        network.nodes()[index].m_membership->set_revision(network.now(), {9});
+        network.invoke(index,
+                       [&](membership& node, auto& out) { node.set_revision(network.now(), {9}, out); });
     }
     const auto taken = network.run_until(300s, [&] { return known + 1 >= count; });
     results.m_revision_known = taken ? to_seconds(network.now() - begin) : std::nan("");
--- a/src/config/spread_base.cpp
+++ b/src/config/spread_base.cpp
@@ -17,7 +17,8 @@
 constexpr std::size_t max_history_bytes = std::size_t{8} << 20U;
 constexpr unsigned answers_limit = 64;
 constexpr duration answers_window = std::chrono::seconds(1);
-constexpr duration fetch_timeout = std::chrono::seconds(2);
+/** Minimum interval between reads of the head row after failures. */
+constexpr duration retry_poll_interval = std::chrono::seconds(1);
 constexpr duration object_timeout = std::chrono::seconds(5);
 constexpr duration base_backoff = std::chrono::milliseconds(500);
 constexpr duration max_backoff = std::chrono::seconds(20);
@@ -62,7 +63,9 @@
     std::vector<delta_fetch> m_fetches;         ///< Open requests to peers; at most fetch_limit.
     std::optional<object_fetch> m_object_fetch; ///< Open request to the object store.
     instant m_next_poll_at;                     ///< Time of the next read of the head row.
-    bool m_head_failed = false;                 ///< Whether the last read of the head row failed.
+    instant m_polled_at{};                      ///< Time of the last read of the head row.
+    bool m_is_watching = false;                 ///< Whether this node watches the head row.
+    bool m_fetch_failed = false;                ///< Whether a peer failed to deliver the revision needed now.
     instant m_window_since;                     ///< Start of the current rate limit window.
     unsigned m_answers = 0;                     ///< Requests from peers in this window.
 
@@ -72,6 +75,7 @@
     }
     bool is_needed(revision number) const;
     duration jitter(duration mean);
+    duration poll_interval();
     const std::string* find_text(revision number) const;
     void apply_revision(instant now, const revision_info& info, std::string text,
                         std::vector<spread_action>& actions);
@@ -79,6 +83,7 @@
     void send_request(instant now, const node_id& peer, revision base, std::vector<spread_action>& actions);
     void request_from_random_peer(instant now, std::vector<spread_action>& actions);
     void back_off(instant now, const node_id& peer);
+    void poll_soon(instant now);
     spread_peer* find_or_add_peer(const node_id& peer);
     void on_message(instant now, const node_id& peer, const spread_request& message,
                     std::vector<spread_action>& actions);
@@ -102,6 +107,12 @@
     return duration(distribution(m_random));
 }
 
+/** Returns a random interval until the next read of the head row. */
+duration spread::state::poll_interval()
+{
+    return jitter(m_is_watching ? m_settings.m_poll_interval : m_settings.m_unwatched_poll_interval);
+}
+
 const std::string* spread::state::find_text(revision number) const
 {
     const auto found = std::find_if(m_revisions.begin(), m_revisions.end(), [&](const stored_revision& each) {
@@ -132,6 +143,7 @@
         m_revision_bytes -= m_revisions.front().m_text.size();
         m_revisions.pop_front();
     }
+    m_fetch_failed = false;
     actions.emplace_back(spread_in_force{info, std::make_shared<const config_set>(std::move(set).value())});
     request_from_peers(now, actions);
 }
@@ -166,7 +178,7 @@
 void spread::state::send_request(instant now, const node_id& peer, revision base,
                                  std::vector<spread_action>& actions)
 {
-    const instant deadline = now + jitter(fetch_timeout);
+    const instant deadline = now + jitter(m_settings.m_fetch_timeout);
     m_peers[peer].m_not_before = deadline;
     m_fetches.push_back(delta_fetch{peer, deadline, std::nullopt, {}});
     actions.emplace_back(spread_send{peer, encode_spread(spread_request{base})});
@@ -193,6 +205,12 @@
     peer_state.m_backoff = std::min(peer_state.m_backoff * 2, max_backoff);
 }
 
+/** Reads the head row soon, as a peer failed to deliver a revision or none is in force. */
+void spread::state::poll_soon(instant now)
+{
+    m_next_poll_at = std::min(m_next_poll_at, std::max(now, m_polled_at + jitter(retry_poll_interval)));
+}
+
 /** Returns the state of @p peer, never null. At peer_limit a new peer evicts the one with the oldest
  * revision. */
 spread_peer* spread::state::find_or_add_peer(const node_id& peer)
@@ -262,6 +280,7 @@
         fetch->m_data.clear();
     }
     fetch->m_data.emplace(message.m_page, message.m_data);
+    fetch->m_deadline = now + jitter(m_settings.m_fetch_timeout);
     if (fetch->m_data.size() < message.m_pages) {
         return;
     }
@@ -311,8 +330,10 @@
                      std::vector<spread_action>& actions)
 {
     state& self = *m_state;
-    self.m_head_failed = head.has_error();
     if (head.has_error()) {
+        if (self.m_fetch_failed || self.in_force().m_value == 0) {
+            self.poll_soon(now);
+        }
         self.request_from_random_peer(now, actions);
         return;
     }
@@ -323,8 +344,9 @@
         std::any_of(self.m_fetches.begin(), self.m_fetches.end(), [&](const auto& fetch) {
             return !(self.m_peers[fetch.m_peer].m_newest < head.value()->m_revision);
         });
-    if (!is_being_fetched && (!self.m_object_fetch || self.m_object_fetch->m_deadline <= now ||
-                              self.m_object_fetch->m_info.m_revision < head.value()->m_revision)) {
+    if ((!is_being_fetched || self.m_fetch_failed) &&
+        (!self.m_object_fetch || self.m_object_fetch->m_deadline <= now ||
+         self.m_object_fetch->m_info.m_revision < head.value()->m_revision)) {
         self.m_object_fetch = object_fetch{*head.value(), now + object_timeout};
         actions.emplace_back(spread_get_object{object_name(head.value()->m_digest)});
     }
@@ -367,17 +389,29 @@
     }
 }
 
+void spread::set_watching(instant now, bool is_watching)
+{
+    state& self = *m_state;
+    if (self.m_is_watching != is_watching) {
+        self.m_is_watching = is_watching;
+        self.m_next_poll_at = std::min(self.m_next_poll_at, now + self.poll_interval());
+    }
+}
+
 void spread::tick(instant now, std::vector<spread_action>& actions)
 {
     state& self = *m_state;
     for (const delta_fetch& fetch : self.m_fetches) {
         if (fetch.m_deadline <= now) {
             self.back_off(now, fetch.m_peer);
+            self.m_fetch_failed = true;
+            self.poll_soon(now);
         }
     }
     std::erase_if(self.m_fetches, [&](const delta_fetch& fetch) { return fetch.m_deadline <= now; });
     if (self.m_next_poll_at <= now) {
-        self.m_next_poll_at = now + self.jitter(self.m_settings.m_poll_interval);
+        self.m_polled_at = now;
+        self.m_next_poll_at = now + self.poll_interval();
         actions.emplace_back(spread_read_head{});
     }
     self.request_from_peers(now, actions);
--- a/src/config/spread_base.h
+++ b/src/config/spread_base.h
@@ -12,8 +12,14 @@
 
 /** Intervals and limits of the distribution. */
 struct spread_settings {
-    duration m_poll_interval = std::chrono::seconds(5); ///< Mean interval between reads of the head row.
-    std::size_t m_history = 32;                         ///< Number of revisions retained as bases for deltas.
+    /** Mean interval between reads of the head row by a node that watches it. */
+    duration m_poll_interval = std::chrono::seconds(5);
+    /** The same for the other nodes, which learn of new revisions from peers. */
+    duration m_unwatched_poll_interval = std::chrono::seconds(60);
+    /** Wait for the next page of a delta; the peer may be down or slow, and revisions must not wait for it.
+     */
+    duration m_fetch_timeout = std::chrono::milliseconds(500);
+    std::size_t m_history = 32; ///< Number of revisions retained as bases for deltas.
 };
 
 /** Action: read the head row and call spread::on_head. */
@@ -67,6 +73,9 @@
     void on_message(instant now, const node_id& peer, std::string_view payload,
                     std::vector<spread_action>& actions);
 
+    /** Records whether this node watches the head row. Initially it does not. */
+    void set_watching(instant now, bool is_watching);
+
     /** Handles time-outs and polling. Call at next_tick. */
     void tick(instant now, std::vector<spread_action>& actions);
 
--- a/src/events/event_type.h
+++ b/src/events/event_type.h
@@ -28,6 +28,7 @@
     isolated,
     config_in_force,
     config_refused,
+    watch_changed,
     platform_failing,
     platform_recovered,
     request_suspected,
--- a/src/events/table/events.h
+++ b/src/events/table/events.h
@@ -63,6 +63,8 @@
      "A new revision of the configuration is in force."},
     {501, severity::error, "config-refused", "revision reason",
      "This version can't read an accepted revision; the previous one stays in force. Upgrade the node."},
+    {502, severity::info, "watch-changed", "watching",
+     "This node starts or stops watching the configuration in the platform's table for its data centre."},
     {510, severity::warning, "platform-failing", "reason",
      "The platform's table or object store is failing."},
     {511, severity::info, "platform-recovered", "outage_ms",
--- a/src/member/member.h
+++ b/src/member/member.h
@@ -5,5 +5,6 @@
 #include "member/announcement_type.h"
 #include "member/member_type.h"
 #include "member/membership_base.h"
+#include "member/watch_election_base.h"
 
 #endif
--- a/src/member/member_table.cpp
+++ b/src/member/member_table.cpp
@@ -46,9 +46,14 @@
 
 } // namespace
 
+std::uint64_t hash_of(const node_id& node)
+{
+    return mix(hash_text(node.m_value));
+}
+
 std::size_t bucket_of(const node_id& node)
 {
-    return mix(hash_text(node.m_value)) % bucket_count;
+    return hash_of(node) % bucket_count;
 }
 
 member_entry* member_table::find(const node_id& node) const
--- a/src/member/member_table_base.h
+++ b/src/member/member_table_base.h
@@ -18,7 +18,6 @@
     instant m_lost_at{};               ///< When it became suspect, in active time.
     instant m_gone_at{};               ///< When it became dead or left, in active time.
     bool m_removal_queued = false;     ///< Whether a removal deadline is queued; at most one per member.
-    instant m_row_seen_at{};           ///< When its row was last read, in active time.
     bool m_recently_lost = false;      ///< Whether it is counted as a recent loss.
     unsigned m_transmits = 0;          ///< Remaining times to piggyback its record.
     unsigned m_note_transmits = 0;     ///< Remaining times to piggyback its revision.
@@ -29,6 +28,9 @@
 /** Number of buckets into which members are divided for digests. */
 inline constexpr std::size_t bucket_count = 64;
 
+/** Returns a hash of the name of @p node; equal in every process. */
+std::uint64_t hash_of(const node_id& node);
+
 /** Returns the bucket of @p node; equal in every process. */
 std::size_t bucket_of(const node_id& node);
 
--- a/src/member/member_type.h
+++ b/src/member/member_type.h
@@ -59,7 +59,14 @@
     member_record m_record; ///< Record after the change.
 };
 
-/** Writes or deletes a registration row in the platform's table. */
+/** Reports that a member has put a higher revision in force; nothing else of its record has changed. */
+struct member_revision {
+    node_id m_node;      ///< The member.
+    revision m_revision; ///< Its revision.
+};
+
+/** Writes or deletes a registration row in the platform's table. Unless it deletes one, the outcome is passed
+ * to membership::on_registered. */
 struct member_register {
     std::string m_key;     ///< Key of the row.
     std::string m_value;   ///< Value of the row.
@@ -72,7 +79,8 @@
 };
 
 /** Action that membership requests from its owner. */
-using member_action = std::variant<member_send, member_change, member_register, member_discover>;
+using member_action =
+    std::variant<member_send, member_change, member_revision, member_register, member_discover>;
 
 } // namespace waxwing
 
--- a/src/member/membership.cpp
+++ b/src/member/membership.cpp
@@ -10,6 +10,9 @@
 /** Members to which a change of the node's target is sent immediately. */
 constexpr std::size_t announce_fan_out = 8;
 constexpr unsigned leave_repeats = 3;
+/** Members to which a node sends its new revision. With all nodes doing so, some 0.3 % of them receive none
+ * of these messages and learn the revision from the next probe instead. */
+constexpr std::size_t revision_fan_out = 6;
 
 } // namespace
 
@@ -75,13 +78,22 @@
             continue;
         }
         m_state->merge_record(active_now, decoded.value(), gossip_source::row, actions);
-        member_entry* const member = m_state->m_table.find(decoded.value().m_node);
-        if (member != nullptr) {
-            member->m_row_seen_at = active_now;
+        const member_entry* const member = m_state->m_table.find(decoded.value().m_node);
+        // The row goes well before the member is forgotten: once it is, its row would add it as a new member.
+        if (member != nullptr && !is_reachable(member->m_record.m_state) &&
+            active_now - member->m_gone_at >= m_state->m_settings.m_dead_retention / 2) {
+            actions.emplace_back(member_register{key, {}, true});
         }
     }
 }
 
+void membership::on_registered(instant now, bool is_written)
+{
+    const duration interval =
+        is_written ? m_state->m_settings.m_register_interval : m_state->m_settings.m_register_retry_interval;
+    m_state->m_next_register = now - m_state->m_paused + m_state->jittered(interval);
+}
+
 void membership::tick(instant now, std::vector<member_action>& actions)
 {
     const instant active_now = m_state->observe(now, actions);
@@ -113,10 +125,13 @@
     m_state->add_rumour(active_now, self.m_node, urgency::high);
 }
 
-void membership::set_revision(instant now, revision in_force)
+void membership::set_revision(instant now, revision in_force, std::vector<member_action>& actions)
 {
-    static_cast<void>(now);
-    m_state->m_self.m_revision = std::max(m_state->m_self.m_revision, in_force);
+    static_cast<void>(m_state->observe(now, actions));
+    if (m_state->m_self.m_revision < in_force) {
+        m_state->m_self.m_revision = in_force;
+        m_state->send_own_revision(revision_fan_out, actions);
+    }
 }
 
 void membership::leave(instant now, std::vector<member_action>& actions)
--- a/src/member/membership_base.h
+++ b/src/member/membership_base.h
@@ -18,8 +18,12 @@
     duration m_probe_timeout = std::chrono::milliseconds(300); ///< Wait for an ack before indirect probes.
     duration m_suspicion_timeout = std::chrono::seconds(4);    ///< Time for a suspect to refute.
     duration m_dead_retention = std::chrono::hours(2); ///< Time for which dead and left members are kept.
-    duration m_register_interval = std::chrono::seconds(30); ///< Interval between writes of the own row.
-    duration m_discover_interval = std::chrono::seconds(60); ///< Interval between reads of all rows.
+    /** Interval between writes of the own row, which restore it if another node deleted it. */
+    duration m_register_interval = std::chrono::minutes(10);
+    duration m_register_retry_interval = std::chrono::seconds(5); ///< Delay after a write that failed.
+    /** Interval in which m_discover_readers nodes of the whole fleet read all rows. */
+    duration m_discover_interval = std::chrono::seconds(60);
+    unsigned m_discover_readers = 4;      ///< Mean number of nodes that read all rows in each interval.
     unsigned m_indirect_probes = 3;       ///< Members asked to probe on behalf of this node.
     std::size_t m_member_capacity = 4096; ///< Maximum number of known members.
 };
@@ -40,7 +44,11 @@
     void receive(instant now, const endpoint& from, std::string_view payload,
                  std::vector<member_action>& actions);
 
-    /** Merges registration rows (key, value) of the platform's table. */
+    /** Handles the outcome of writing the own row. */
+    void on_registered(instant now, bool is_written);
+
+    /** Merges registration rows (key, value) of the platform's table, and deletes those of members that have
+     * been dead for long. */
     void add_registered(instant now, const std::vector<std::pair<std::string, std::string>>& rows,
                         std::vector<member_action>& actions);
 
@@ -54,8 +62,8 @@
     void set_target(instant now, target_state target, const service_name& service, std::uint32_t slots,
                     std::vector<member_action>& actions);
 
-    /** Records the revision in force, which later messages carry to peers. A lower revision is ignored. */
-    void set_revision(instant now, revision in_force);
+    /** Records the revision in force and tells it to peers. A lower revision is ignored. */
+    void set_revision(instant now, revision in_force, std::vector<member_action>& actions);
 
     /** Announces to peers that this node leaves, and deletes its row. */
     void leave(instant now, std::vector<member_action>& actions);
--- a/src/member/membership_merge.cpp
+++ b/src/member/membership_merge.cpp
@@ -142,7 +142,7 @@
     }
     member->m_record.m_revision = note.m_revision;
     queue_note(*member);
-    out.emplace_back(member_change{member->m_record});
+    out.emplace_back(member_revision{note.m_node, note.m_revision});
     return true;
 }
 
@@ -189,6 +189,11 @@
     }
     const bool reported_unreachable =
         update.m_state != member_state::alive && update.m_version >= m_self.m_version;
+    if (reported_unreachable && update.m_state == member_state::dead) {
+        // The other nodes may have deleted the row.
+        m_next_register =
+            std::min(m_next_register, active_now + jittered(m_settings.m_register_retry_interval));
+    }
     if (reported_unreachable || update.m_version > m_self.m_version) {
         refute(active_now, update.m_version);
     }
--- a/src/member/membership_spread.cpp
+++ b/src/member/membership_spread.cpp
@@ -204,6 +204,19 @@
 {
     gossip_message rumour;
     rumour.m_items.emplace_back(m_self);
+    send_to_random(rumour, fan_out, out);
+}
+
+void membership::state::send_own_revision(std::size_t fan_out, actions& out)
+{
+    gossip_message rumour;
+    rumour.m_items.emplace_back(revision_note{m_self.m_node, m_self.m_incarnation, m_self.m_revision});
+    send_to_random(rumour, fan_out, out);
+}
+
+/** Sends @p rumour to @p fan_out random members at once, whatever is left of the rumour budget. */
+void membership::state::send_to_random(const gossip_message& rumour, std::size_t fan_out, actions& out)
+{
     const std::string payload = encode_gossip(rumour);
     for (const member_entry* member : m_table.draw(m_random, fan_out, {})) {
         m_rumour_budget_bytes -= static_cast<double>(payload.size() + frame_bytes);
--- a/src/member/membership_state.h
+++ b/src/member/membership_state.h
@@ -109,7 +109,7 @@
     duration jittered(duration interval);
     void register_row(instant active_now, actions& out);
     void discover(instant active_now, actions& out);
-    void expire_removals(instant active_now, actions& out);
+    void expire_removals(instant active_now);
     void repeat_leave(instant active_now, actions& out);
 
     // Probes (membership_probe.cpp).
@@ -131,6 +131,8 @@
     void send(gossip_message message, const endpoint& to, const node_id& to_node, actions& out);
     void send_rumours(instant active_now, actions& out);
     void send_own_record(std::size_t fan_out, actions& out);
+    void send_own_revision(std::size_t fan_out, actions& out);
+    void send_to_random(const gossip_message& rumour, std::size_t fan_out, actions& out);
     void queue_change(member_entry& member);
     void queue_note(member_entry& member);
     void add_rumour(instant active_now, const node_id& node, urgency level);
--- a/src/member/membership_timer.cpp
+++ b/src/member/membership_timer.cpp
@@ -84,7 +84,7 @@
     }
     check_probes(active_now, out);
     expire_suspicions(active_now, out);
-    expire_removals(active_now, out);
+    expire_removals(active_now);
     expire_losses(active_now);
     if (active_now >= m_next_probe) {
         m_next_probe = active_now + jittered(m_settings.m_probe_interval);
@@ -110,20 +110,24 @@
 
 void membership::state::register_row(instant active_now, actions& out)
 {
-    m_next_register = active_now + jittered(m_settings.m_register_interval);
+    m_next_register = active_now + jittered(m_settings.m_register_retry_interval);
     out.emplace_back(member_register{"member/" + m_self.m_node.m_value, encode_row(m_self), false});
 }
 
+/** Reads the rows if no member is reachable. Otherwise only some nodes of the fleet do, as the rows then only
+ * serve to find a part of the fleet that gossip does not reach: one reader tells the others. */
 void membership::state::discover(instant active_now, actions& out)
 {
     const bool no_peers = m_table.reachable() == 0;
     const duration interval = no_peers ? std::min(no_peers_discover_interval, m_settings.m_discover_interval)
                                        : m_settings.m_discover_interval;
     m_next_discover = active_now + jittered(interval);
-    out.emplace_back(member_discover{"member/"});
+    if (no_peers || m_random() % (m_table.reachable() + 1) < m_settings.m_discover_readers) {
+        out.emplace_back(member_discover{"member/"});
+    }
 }
 
-void membership::state::expire_removals(instant active_now, actions& out)
+void membership::state::expire_removals(instant active_now)
 {
     while (!m_removals.empty() && active_now >= m_removals.front().m_at) {
         const member_deadline deadline = m_removals.front();
@@ -137,20 +141,12 @@
             continue;
         }
         const instant forget_at = member->m_gone_at + m_settings.m_dead_retention;
-        const bool has_row = member->m_row_seen_at != instant{} &&
-                             active_now - member->m_row_seen_at < 3 * m_settings.m_discover_interval;
-        if (active_now >= forget_at && !has_row) {
+        if (active_now >= forget_at) {
             forget(*member);
             continue;
         }
-        // If the member were forgotten while its row exists, reading the row would add it as a new member. On
-        // average one node of the fleet deletes the row.
-        if (active_now >= forget_at && m_random() % (m_table.reachable() + 1) == 0) {
-            out.emplace_back(member_register{"member/" + deadline.m_node.m_value, {}, true});
-        }
         member->m_removal_queued = true;
-        m_removals.push_back({active_now >= forget_at ? active_now + m_settings.m_dead_retention : forget_at,
-                              deadline.m_node, deadline.m_incarnation, deadline.m_version});
+        m_removals.push_back({forget_at, deadline.m_node, deadline.m_incarnation, deadline.m_version});
     }
     update_isolation();
 }
--- a/src/node/control_task.cpp
+++ b/src/node/control_task.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::size_t page_size = 100;            ///< Rows per read.
+constexpr std::size_t page_size = 500;            ///< Rows per read.
 constexpr std::size_t max_discovered_rows = 4096; ///< Rows after which a discovery stops reading.
 
 /** Returns the member record with which a node with @p settings joins the fleet. */
@@ -31,6 +31,7 @@
                            incarnation own_incarnation, std::uint64_t seed, handler on_output)
     : m_loop(loop), m_settings(settings), m_on_output(std::move(on_output)),
       m_members(member_settings{}, to_member_record(settings, own_incarnation), seed),
+      m_watch_election(settings.m_name, settings.m_data_centre, watch_settings{}),
       m_spread(spread_settings{}, seed + 1), m_storage(platform_storage),
       m_timer(loop, [this] { on_timer(); })
 {
@@ -40,6 +41,7 @@
 {
     auto datagrams =
         datagram_task::open(m_loop, m_settings.m_gossip, m_settings.m_shared_key, [this](datagram&& packet) {
+            m_watch_election.on_message(event_loop::now());
             m_members.receive(event_loop::now(), packet.m_from, packet.m_payload, m_member_actions);
             process_actions();
         });
@@ -77,10 +79,26 @@
     }
     m_processing_actions = false;
     log_unreadable_revision();
-    const instant next = std::min(m_members.next_tick(), m_spread.next_tick());
+    update_watch();
+    const instant next =
+        std::min({m_members.next_tick(), m_spread.next_tick(), m_watch_election.next_update()});
     m_timer.set(next - event_loop::now());
 }
 
+/** Starts or stops watching the head row, as the election decides. */
+void control_task::update_watch()
+{
+    const instant now = event_loop::now();
+    const bool is_watching = m_watch_election.update(now, m_members.likely_isolated(now));
+    if (is_watching == m_is_watching) {
+        return;
+    }
+    m_is_watching = is_watching;
+    log_event(event::watch_changed, {{"watching", is_watching ? "yes" : "no"}});
+    m_spread.set_watching(now, is_watching);
+    m_storage.set_watch_active(std::string(head_key), is_watching);
+}
+
 /** Logs once for each accepted revision that this version cannot read. */
 void control_task::log_unreadable_revision()
 {
@@ -99,10 +117,15 @@
                    [&](member_send& outgoing) { m_datagrams->send(outgoing.m_to, outgoing.m_payload); },
                    [&](member_change& change) {
                        const member_record& record = change.m_record;
+                       m_watch_election.put(record);
                        m_spread.on_peer_revision(event_loop::now(), record.m_node, record.m_revision,
                                                  m_spread_actions);
                        m_on_output(peer_changed{record});
                    },
+                   [&](member_revision& change) {
+                       m_spread.on_peer_revision(event_loop::now(), change.m_node, change.m_revision,
+                                                 m_spread_actions);
+                   },
                    [&](member_register& request) { apply_registration(request); },
                    [&](member_discover& request) { discover(request.m_prefix, "", {}); },
                },
@@ -128,7 +151,7 @@
                    },
                    [&](spread_in_force& change) {
                        m_in_force = {change.m_info, change.m_set};
-                       m_members.set_revision(event_loop::now(), change.m_info.m_revision);
+                       m_members.set_revision(event_loop::now(), change.m_info.m_revision, m_member_actions);
                        log_event(event::config_in_force,
                                  {{"revision", std::to_string(change.m_info.m_revision.m_value)},
                                   {"digest", change.m_info.m_digest}});
@@ -169,8 +192,11 @@
     transaction.m_writes.push_back(
         {registration.m_key,
          registration.m_remove ? std::nullopt : std::optional<std::string>(registration.m_value)});
-    m_storage.commit(std::move(transaction), [this](const auto& outcome) {
+    m_storage.commit(std::move(transaction), [this, remove = registration.m_remove](const auto& outcome) {
         on_platform_result(outcome.has_value(), outcome.has_error() ? outcome.error().m_text : "");
+        if (!remove) {
+            m_members.on_registered(event_loop::now(), outcome.has_value());
+        }
     });
 }
 
--- a/src/node/control_task_base.h
+++ b/src/node/control_task_base.h
@@ -64,12 +64,15 @@
     void on_head(const result<std::optional<table_row>>& row);
     void log_unreadable_revision();
     void on_timer();
+    void update_watch();
     void on_platform_result(bool is_working, const std::string& reason);
 
     event_loop& m_loop;
     const node_settings& m_settings;
     handler m_on_output;
     membership m_members;
+    watch_election m_watch_election;
+    bool m_is_watching = false; ///< Whether this node watches the head row.
     spread m_spread;
     std::vector<member_action> m_member_actions;
     std::vector<spread_action> m_spread_actions;
--- a/src/storage/storage.h
+++ b/src/storage/storage.h
@@ -73,9 +73,14 @@
     /** Attempts to commit @p transaction. */
     virtual void commit(table_transaction transaction, handler<table_commit> on_done) = 0;
 
-    /** Calls @p on_change each time the row @p key may have changed, until the storage is destroyed. */
+    /** Registers a watch of the row @p key, which is inactive at first. While it is active, @p on_change is
+     * called each time the row may have changed. @pre the row has no watch yet. */
     virtual void watch_row(const std::string& key, std::function<void()> on_change) = 0;
 
+    /** Activates or suspends the watch of the row @p key. A watch that becomes active reports the present
+     * state of the row. One that is suspended may report one more change. @pre the row has a watch. */
+    virtual void set_watch_active(const std::string& key, bool is_active) = 0;
+
     /** Stores the object @p name; storing the same bytes again is harmless. */
     virtual void put_object(const std::string& name, std::string bytes, handler<bool> on_done) = 0;
 
--- a/test/platform_client_test.cpp
+++ b/test/platform_client_test.cpp
@@ -196,6 +196,7 @@
             fixture.m_loop.stop();
         }
     });
+    fixture.m_store->set_watch_active("t/a", true);
     fixture.m_loop.run();
     const std::vector<std::string> expected_paths{"/rows-get", "/rows-feed", "/rows-get", "/rows-feed"};
     cr_assert(std::equal(expected_paths.begin(), expected_paths.end(), paths.begin()));
