Fix: bytes without end, second copies under one id, replies cut by a stop

Causes, each shown by a test of test/http_wire_test.cpp that failed first: - A server that sends bytes without end took all the memory it could: 695 MB held for 40 connections whose bodies did not end, and a chunk extension, a chunk size or a run of interim answers was read until the time-out of the request (100 MB and more). A client's chunk extension without end was buffered for the 10 s that a request may take. - A server refused a request (not run), which was sent to it again under the same id on the same connection; a second copy of the refusal then counted as the second answer.

Ruled out by the same tests before the change: late copies under another id, answers that end early with a length, with chunks or in the head, surplus bytes behind an answer, a head without end.

Change: the client gives up an answer with 256 KiB that the parser cannot consume or after 64 messages that are not the answer; all unfinished answers together hold 24 MiB, beyond which the longest is given up; a connection carries each request id once (the last 16 are remembered). The server refuses a line without end with 431, counts connections with unsent output as in progress, and tries to accept again after 100 ms.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -5,6 +5,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <charconv>
@@ -16,8 +17,13 @@
 
 namespace beast_http = boost::beast::http;
 
-constexpr std::uint32_t header_limit = 256 * 1024;         ///< Longest answer header accepted, in bytes.
-constexpr unsigned first_final_status = 200;               ///< Status codes below are interim (1xx).
+constexpr std::uint32_t header_limit = 256 * 1024; ///< Longest answer header accepted, in bytes.
+/** Most bytes that the parser leaves unread, such as a chunk extension that does not end. */
+constexpr std::size_t unparsed_limit = header_limit;
+/** Most interim answers, and answers to earlier requests, before the answer to a request. */
+constexpr unsigned skipped_limit = 64;
+constexpr std::size_t max_echo_ids = 16;     ///< Identifiers remembered, more than a request has attempts.
+constexpr unsigned first_final_status = 200; ///< Status codes below are interim (1xx).
 constexpr std::string_view timeout_parameter = "timeout="; ///< Parameter of the Keep-Alive header.
 
 /** Returns the idle time-out in the value of a Keep-Alive header, if it has one. */
@@ -70,6 +76,10 @@
     if (echoed != nullptr) {
         m_request->m_echo_name = request.m_echoed_header;
         m_request->m_echo_value = *echoed;
+        m_echo_ids.push_back(*echoed);
+        if (m_echo_ids.size() > max_echo_ids) {
+            m_echo_ids.pop_front();
+        }
     }
     write_request(request);
     m_sent = 0;
@@ -79,6 +89,11 @@
     update_watcher();
 }
 
+bool client_connection::has_carried(const std::string& echo_value) const
+{
+    return std::find(m_echo_ids.begin(), m_echo_ids.end(), echo_value) != m_echo_ids.end();
+}
+
 void client_connection::write_request(const http_send& request)
 {
     m_output = request.m_method + " " + request.m_path + " HTTP/1.1\r\n";
@@ -141,6 +156,18 @@
     }
     m_input.append(buffer.data(), static_cast<std::size_t>(count));
     parse(count == 0);
+    update_held();
+}
+
+/** Reports the bytes held of an unfinished answer if they have changed. */
+void client_connection::update_held()
+{
+    const bool has_body = m_phase == phase::ready && m_parser && m_parser->is_header_done();
+    const std::size_t held =
+        m_phase == phase::ready ? m_input.size() + (has_body ? m_parser->get().body().size() : 0) : 0;
+    if (held != m_held) {
+        m_callbacks.m_on_held(std::exchange(m_held, held), held);
+    }
 }
 
 /** Parses the received bytes. @param at_eof whether the server has closed its sending side. */
@@ -173,6 +200,10 @@
         if (!m_input.empty() && consumed > 0) {
             continue;
         }
+        if (m_input.size() > unparsed_limit) {
+            close_with_error("the answer contains a line that does not end");
+            return;
+        }
         if (!at_eof) {
             return;
         }
@@ -200,7 +231,7 @@
     auto message = m_parser->release();
     m_parser.reset();
     if (message.result_int() < first_final_status) {
-        return true;
+        return skip_message();
     }
     if (!m_request->m_echo_name.empty()) {
         const auto echoed = message.find(m_request->m_echo_name);
@@ -209,7 +240,7 @@
             return false;
         }
         if (echoed->value() != m_request->m_echo_value) {
-            return true;
+            return skip_message();
         }
     }
     const auto keep_alive = message.find(beast_http::field::keep_alive);
@@ -231,6 +262,16 @@
     return false;
 }
 
+/** Counts a message that is not the expected answer. @return false where there were too many. */
+bool client_connection::skip_message()
+{
+    if (++m_request->m_skipped <= skipped_limit) {
+        return true;
+    }
+    close_with_error("the server sent too many messages that are not the answer");
+    return false;
+}
+
 /** Ends the exchange in progress and reports its outcome. */
 void client_connection::end_exchange(exchange_outcome outcome, http_answer&& answer,
                                      const std::string& reason)
@@ -261,6 +302,7 @@
     m_watcher.stop();
     m_watched_events = 0;
     m_socket.reset();
+    update_held();
 }
 
 void client_connection::update_watcher()
--- a/src/http/client_connection_base.h
+++ b/src/http/client_connection_base.h
@@ -7,6 +7,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <deque>
 #include <optional>
 
 namespace waxwing {
@@ -24,6 +25,7 @@
     bool m_is_head = false;   ///< Whether the method is HEAD: the answer has no body.
     std::string m_echo_name;  ///< Header that the answer must repeat; empty for none.
     std::string m_echo_value; ///< Expected value of that header.
+    unsigned m_skipped = 0;   ///< Messages received that are not its answer.
 };
 
 /**
@@ -38,6 +40,9 @@
         std::function<void(client_connection&, exchange_outcome, http_answer&&, std::string reason)> m_on_end;
         /** The connection has closed with no exchange in progress. */
         std::function<void(client_connection&)> m_on_closed;
+        /** The bytes held of an unfinished answer have changed. Called last, so that it may close the
+         * connection. */
+        std::function<void(std::size_t before, std::size_t now)> m_on_held;
     };
 
     /** Starts to connect to @p address. */
@@ -52,6 +57,14 @@
     /** Returns whether the connection is established and has no exchange in progress. */
     bool is_reusable() const { return m_phase == phase::ready && !m_request; }
 
+    /** Returns whether the connection has recently carried a request that is identified by @p echo_value. The
+     * server may send a second copy of its answer, which can't be told from the answer to the same request
+     * sent again. */
+    bool has_carried(const std::string& echo_value) const;
+
+    /** Returns the bytes held of an unfinished answer. */
+    std::size_t held() const { return m_held; }
+
     const endpoint& address() const { return m_address; }
 
     /** Returns when the last exchange ended, or when the connection was established. */
@@ -78,9 +91,11 @@
     void read();
     void parse(bool at_eof);
     bool finish_message();
+    bool skip_message();
     void end_exchange(exchange_outcome outcome, http_answer&& answer, const std::string& reason);
     void close_with_error(const std::string& reason);
     void update_watcher();
+    void update_held();
 
     event_loop& m_loop;
     endpoint m_address;
@@ -93,6 +108,8 @@
     std::string m_input;            ///< Bytes received and not yet parsed.
     std::optional<parser> m_parser; ///< Parses the answer.
     std::optional<open_exchange> m_request;
+    std::size_t m_held = 0;             ///< Last value passed to m_on_held.
+    std::deque<std::string> m_echo_ids; ///< Identifiers of the last requests, oldest first.
     instant m_idle_since{};
     duration m_server_idle_timeout = duration::max();
     int m_watched_events = 0;
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -80,11 +80,16 @@
     client_connection* find_idle(const http_send& request)
     {
         const instant now = event_loop::now();
+        const std::string* const id = request.m_echoed_header.empty()
+                                          ? nullptr
+                                          : find_header(request.m_headers, request.m_echoed_header);
         for (auto position = m_idle.rbegin(); position != m_idle.rend(); ++position) {
             client_connection* const candidate = *position;
             const duration idle = now - candidate->idle_since();
             const bool fresh = request.m_idempotent || idle <= fresh_window;
-            if (candidate->address() == request.m_address && fresh && idle < reuse_timeout(*candidate)) {
+            const bool is_resend = id != nullptr && candidate->has_carried(*id);
+            if (candidate->address() == request.m_address && fresh && !is_resend &&
+                idle < reuse_timeout(*candidate)) {
                 m_idle.erase(std::next(position).base());
                 return candidate;
             }
@@ -109,6 +114,12 @@
             on_end(connection, outcome, std::move(answer), reason);
         };
         callbacks.m_on_closed = [this](client_connection& connection) { retire(connection); };
+        callbacks.m_on_held = [this](std::size_t before, std::size_t now) {
+            m_held += now - before;
+            if (m_held > m_settings.m_held_limit && now > before) {
+                give_up_longest();
+            }
+        };
         return m_connections.add(std::make_unique<client_connection>(m_loop, address, m_settings.m_body_limit,
                                                                      std::move(callbacks)));
     }
@@ -204,6 +215,25 @@
         assign_waiting();
     }
 
+    /** Gives up the exchange whose answer is the longest so far. */
+    void give_up_longest()
+    {
+        const auto longest =
+            std::max_element(m_pending.begin(), m_pending.end(), [](const auto& a, const auto& b) {
+                return held_by(a.second) < held_by(b.second);
+            });
+        if (longest != m_pending.end()) {
+            fail_exchange(longest->first, http_failure_kind::lost,
+                          "the unfinished answers take too much memory");
+        }
+    }
+
+    /** Returns the bytes held of the answer to @p pending. */
+    static std::size_t held_by(const pending_request& pending)
+    {
+        return pending.m_connection == nullptr ? 0 : pending.m_connection->held();
+    }
+
     /** Removes a request that has ended, and its deadlines. */
     void erase(std::unordered_map<exchange_id, pending_request>::iterator position)
     {
@@ -262,6 +292,7 @@
     http_client_settings m_settings;
     mailbox<http_client_event> m_events;
     connection_set<client_connection> m_connections;
+    std::size_t m_held = 0;                ///< Bytes held of all unfinished answers.
     std::deque<client_connection*> m_idle; ///< Idle longest first.
     std::unordered_map<exchange_id, pending_request> m_pending;
     std::deque<exchange_id> m_waiting;                     ///< Requests without a connection, oldest first.
--- a/src/http/http_client_base.h
+++ b/src/http/http_client_base.h
@@ -16,7 +16,9 @@
 struct http_client_settings {
     /** Most open connections, idle ones included; further requests wait. */
     std::size_t m_connection_limit = 64;
-    std::size_t m_body_limit = 16 * 1024 * 1024;          ///< Longest answer body accepted, in bytes.
+    std::size_t m_body_limit = 16 * 1024 * 1024; ///< Longest answer body accepted, in bytes.
+    /** Most bytes held of all unfinished answers together; beyond that the longest one is given up. */
+    std::size_t m_held_limit = 24 * 1024 * 1024;
     duration m_connect_timeout = std::chrono::seconds(1); ///< Longest time to establish a connection.
     /** Connections idle for longer are closed; the Keep-Alive header of the server may shorten it. */
     duration m_idle_timeout = std::chrono::seconds(20);
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -10,6 +10,8 @@
 
 /** Connections accepted per event, so that open connections are served in between. */
 constexpr int max_accepts = 64;
+/** Delay after which accepting is tried again. */
+constexpr duration accept_retry_delay = std::chrono::milliseconds(100);
 /** The connection limit may be exceeded by one connection in so many, to send refusals on them. */
 constexpr unsigned over_limit_divisor = 10;
 
@@ -17,8 +19,9 @@
 class beast_server final : public http_server {
 public:
     beast_server(event_loop& loop, const http_server_settings& settings, handler on_event)
-        : m_context{loop, settings, false, {}, {}, {}, {}, {}}, m_events(loop, std::move(on_event)),
-          m_accept_watcher(loop, [this](int) { accept_connections(); }), m_connections(loop)
+        : m_context{loop, settings, false, 0, {}, {}, {}, {}, {}}, m_events(loop, std::move(on_event)),
+          m_accept_watcher(loop, [this](int) { accept_connections(); }),
+          m_accept_timer(loop, [this] { resume_accepting(); }), m_connections(loop)
     {
         m_context.m_begin_exchange = [this](server_connection& connection) {
             const exchange_id id{++m_last_exchange};
@@ -77,7 +80,7 @@
         m_listener.reset();
     }
 
-    std::size_t in_progress() const override { return m_exchanges.size(); }
+    std::size_t in_progress() const override { return m_exchanges.size() + m_context.m_sending; }
     std::size_t connections() const override { return m_connections.size(); }
     endpoint address() const override
     {
@@ -111,11 +114,22 @@
         }
     }
 
-    /** Stops accepting until a connection ends; a watched listener would wake the loop all the time. */
+    /** Stops accepting for a while, or until a connection ends; a watched listener would wake the loop all
+     * the time. */
     void pause_accepting()
     {
         m_accept_watcher.stop();
         m_accepting = false;
+        m_accept_timer.set(accept_retry_delay);
+    }
+
+    void resume_accepting()
+    {
+        if (!m_accepting && m_listener.get() >= 0) {
+            m_accepting = true;
+            m_accept_timer.cancel();
+            m_accept_watcher.watch(m_listener.get(), EV_READ);
+        }
     }
 
     void set_idle(server_connection& connection, bool idle)
@@ -134,9 +148,8 @@
     {
         set_idle(connection, false);
         const bool was_open = m_connections.retire(connection);
-        if (was_open && !m_accepting && m_listener.get() >= 0) {
-            m_accepting = true;
-            m_accept_watcher.watch(m_listener.get(), EV_READ);
+        if (was_open) {
+            resume_accepting();
         }
     }
 
@@ -144,6 +157,7 @@
     mailbox<http_server_event> m_events;
     descriptor m_listener;
     io_watcher m_accept_watcher;
+    timer m_accept_timer;    ///< Resumes accepting where no connection is open whose end would do so.
     bool m_accepting = true; ///< Whether m_accept_watcher watches the listener.
     connection_set<server_connection> m_connections;
     std::list<server_connection*> m_idle; ///< Idle longest first.
--- a/src/http/http_server_base.h
+++ b/src/http/http_server_base.h
@@ -97,7 +97,8 @@
     /** Returns the number of open connections. */
     virtual std::size_t connections() const = 0;
 
-    /** Returns the number of exchanges whose reply is not in the output buffer yet. */
+    /** Returns the number of exchanges whose reply is not in the output buffer yet, and of connections whose
+     * output buffer has not been sent. */
     virtual std::size_t in_progress() const = 0;
 
     /** Returns the listening address with its actual port; the configured one after stop_listening(). */
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -25,6 +25,7 @@
 constexpr unsigned first_status = 100;
 constexpr unsigned last_status = 999;
 constexpr unsigned fallback_status = 500;
+constexpr unsigned header_limit_status = 431;
 constexpr unsigned no_content = 204;
 constexpr unsigned not_modified = 304;
 
@@ -39,7 +40,7 @@
 unsigned rejection_status(const boost::beast::error_code& parse_error)
 {
     if (parse_error == beast_http::error::header_limit) {
-        return 431;
+        return header_limit_status;
     }
     return 400;
 }
@@ -109,6 +110,7 @@
         m_input.erase(0, consumed);
         if (parse_error == beast_http::error::need_more) {
             send_continue();
+            refuse_endless_line();
             return;
         }
         if (parse_error == beast_http::error::body_limit) {
@@ -122,6 +124,7 @@
         if (!m_parser->is_done()) {
             send_continue();
             if (consumed == 0) {
+                refuse_endless_line();
                 return;
             }
             continue;
@@ -130,6 +133,15 @@
     }
 }
 
+/** Refuses a request in which the parser waits for the end of a line, such as a chunk extension, for too
+ * long. */
+void server_connection::refuse_endless_line()
+{
+    if (m_input.size() > m_context.m_settings.m_header_limit) {
+        refuse(header_limit_status);
+    }
+}
+
 void server_connection::start_parser()
 {
     m_parser.emplace();
@@ -287,6 +299,7 @@
         m_context.m_on_end(exchange.m_id, true);
     }
     m_pending.clear();
+    update_sending();
     m_context.m_on_closed(*this);
 }
 
@@ -319,12 +332,23 @@
     close();
 }
 
+/** Counts the connection while it has unsent output. */
+void server_connection::update_sending()
+{
+    const bool is_sending = m_phase == phase::open && !m_output.empty();
+    if (is_sending != m_counted_sending) {
+        m_counted_sending = is_sending;
+        is_sending ? ++m_context.m_sending : --m_context.m_sending;
+    }
+}
+
 /** Updates the watched events and the time-out, and reports a change between idle and busy. */
 void server_connection::update()
 {
     if (m_phase == phase::closed) {
         return;
     }
+    update_sending();
     const bool full = m_pending.size() >= pipeline_limit || m_output.size() >= output_limit;
     const int events = (full ? 0 : EV_READ) | (m_output.empty() ? 0 : EV_WRITE);
     if (events != m_watched_events) {
--- a/src/http/server_connection_base.h
+++ b/src/http/server_connection_base.h
@@ -20,6 +20,7 @@
     event_loop& m_loop;
     http_server_settings m_settings; ///< Current settings.
     bool m_draining = false;         ///< Whether connections close after their next reply.
+    std::size_t m_sending = 0;       ///< Connections with unsent output.
 
     /** Registers a new exchange of the connection. @return its id. */
     std::function<exchange_id(server_connection&)> m_begin_exchange;
@@ -84,6 +85,8 @@
     void send_output();
     void shutdown_if_done();
     void update();
+    void update_sending();
+    void refuse_endless_line();
     duration timeout() const;
 
     server_context& m_context;
@@ -100,6 +103,7 @@
     std::size_t m_sent = 0;                 ///< Bytes of m_output that have been sent.
     int m_watched_events = 0;               ///< Events that m_watcher watches.
     bool m_reported_idle = false;           ///< Last state passed to m_on_idle.
+    bool m_counted_sending = false;         ///< Whether the connection is counted in m_context.m_sending.
     instant m_last_activity_at{};           ///< When data was last received or sent.
     instant m_receiving_since{};            ///< When the parser of the current request was started.
     io_watcher m_watcher;
--- a/test/http_wire_test.cpp
+++ b/test/http_wire_test.cpp
@@ -5,6 +5,8 @@
 #include <criterion/criterion.h>
 
 #include <deque>
+#include <malloc.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 using namespace waxwing;
@@ -104,6 +106,75 @@
     return failure != nullptr && failure->m_kind == http_failure_kind::lost;
 }
 
+/** A server that answers the first bytes of a connection with @p head and then sends @p body again and again
+ * until the client closes. */
+struct endless_server {
+    endless_server(event_loop& loop, std::string head, std::string body)
+        : m_loop(loop), m_head(std::move(head)), m_body(std::move(body)),
+          m_listener(std::move(listen_at({"127.0.0.1", 0})).value()),
+          m_accept_watcher(loop, [this](int) { accept(); })
+    {
+        m_accept_watcher.watch(m_listener.get(), EV_READ);
+    }
+
+    endpoint address() const { return local_address(m_listener.get()); }
+
+    void accept()
+    {
+        m_sockets.push_back(
+            std::move(accept_connection(m_listener.get(), socket_use::http)).value().m_socket);
+        m_unsent.push_back(m_head);
+        const std::size_t index = m_sockets.size() - 1;
+        m_watchers.push_back(std::make_unique<io_watcher>(m_loop, [this, index](int) { answer(index); }));
+        m_watchers.back()->watch(m_sockets[index].get(), EV_WRITE);
+    }
+
+    void answer(std::size_t index)
+    {
+        std::string& bytes = m_unsent[index];
+        while (bytes.size() < 65536) {
+            bytes += m_body;
+        }
+        const ssize_t count = send(m_sockets[index].get(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        if (count < 0) {
+            m_watchers[index]->stop();
+            ++m_closed;
+            return;
+        }
+        bytes.erase(0, static_cast<std::size_t>(count));
+        m_sent += static_cast<std::size_t>(count);
+    }
+
+    event_loop& m_loop;
+    std::string m_head;
+    std::string m_body;
+    descriptor m_listener;
+    io_watcher m_accept_watcher;
+    std::vector<descriptor> m_sockets;
+    std::vector<std::string> m_unsent;
+    std::vector<std::unique_ptr<io_watcher>> m_watchers;
+    std::size_t m_sent = 0; ///< Bytes sent on all connections.
+    int m_closed = 0;       ///< Connections that the client has closed.
+};
+
+/** Sends @p count requests at once to @p address. @return the event of each. */
+std::vector<http_client_event> exchange_at_once(const endpoint& address, guarded_loop& guarded,
+                                                std::size_t count)
+{
+    std::vector<http_client_event> events;
+    const auto client = http_client::make(guarded.m_loop, {}, [&](http_client_event&& event) {
+        events.push_back(std::move(event));
+        if (events.size() == count) {
+            guarded.m_loop.stop();
+        }
+    });
+    for (std::size_t index = 1; index <= count; ++index) {
+        client->send({exchange_id{index}, address, "GET", "/", {{"Id", "1"}}, "", test_timeout, "Id", true});
+    }
+    guarded.m_loop.run();
+    return events;
+}
+
 /** Reads from @p socket until @p text has been received or the peer closes. */
 std::string read_until(const descriptor& socket, const std::string& text, event_loop& loop)
 {
@@ -250,3 +321,185 @@
     cr_assert(read_until(idle, "never", guarded.m_loop).empty(),
               "expected the idle connection to be closed without data");
 }
+
+/** A server in trouble sends bytes without end that are no answer. Each exchange ends as lost long before its
+ * time-out, after a bounded number of bytes: at most the longest body, with its framing. */
+Test(wire, bytes_without_end_are_cut_off)
+{
+    struct stream {
+        std::string m_head;               ///< Sent once.
+        std::string m_repeated;           ///< Sent again and again.
+        std::size_t m_bytes_per_byte = 1; ///< Bytes sent for each byte of the body.
+    };
+    const std::string start = "HTTP/1.1 200 OK\r\nId: 1\r\n";
+    const std::string chunked = start + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+    const std::vector<stream> streams{
+        {"", "x"},                                      // A status line.
+        {start + "Long: ", "x"},                        // A header.
+        {start, "A: b\r\n"},                            // Headers.
+        {start + "\r\n", "xxxx"},                       // A body without length.
+        {chunked, "1\r\nx\r\n", 6},                     // Chunks.
+        {chunked + "1;ext=", "x"},                      // A chunk extension.
+        {chunked, "0"},                                 // A chunk size.
+        {chunked + "0\r\n", "A: b\r\n"},                // Trailers.
+        {interim, interim},                             // Interim answers.
+        {answer_to("0", "old"), answer_to("0", "old")}, // Answers to another request.
+    };
+    for (const stream& each : streams) {
+        guarded_loop guarded;
+        endless_server server(guarded.m_loop, each.m_head, each.m_repeated);
+        const auto events = exchange_at_once(server.address(), guarded, 1);
+        cr_assert(is_lost(events[0]), "%s", each.m_head.c_str());
+        constexpr std::size_t socket_buffers = 8 << 20;
+        const std::size_t limit =
+            http_client_settings{}.m_body_limit * each.m_bytes_per_byte + socket_buffers;
+        cr_assert(server.m_sent < limit, "%s: %zu", each.m_head.c_str(), server.m_sent);
+    }
+}
+
+/** All connections to a server get bodies without end at the same time. */
+Test(wire, the_memory_for_all_answers_together_is_bounded)
+{
+    guarded_loop guarded;
+    endless_server server(guarded.m_loop, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", "xxxx");
+    std::size_t max_held = 0;
+    const std::size_t before = mallinfo2().uordblks + mallinfo2().hblkhd;
+    timer sampler(guarded.m_loop, [&] {
+        max_held = std::max(max_held, mallinfo2().uordblks + mallinfo2().hblkhd - before);
+        sampler.set(std::chrono::milliseconds(1));
+    });
+    sampler.set(std::chrono::milliseconds(1));
+    const auto events = exchange_at_once(server.address(), guarded, 40);
+    cr_assert(std::all_of(events.begin(), events.end(), is_lost));
+    // Twice the limit, since a string that grows holds its old and its new buffer.
+    cr_assert(max_held <= std::size_t{96} << 20U, "%zu bytes", max_held);
+}
+
+/** A client sends a chunk extension without end. */
+Test(wire, a_request_without_end_is_refused)
+{
+    guarded_loop guarded;
+    std::unique_ptr<http_server> server;
+    http_server_settings settings;
+    settings.m_address = {"127.0.0.1", 0};
+    server = std::move(http_server::open(guarded.m_loop, settings, [&](http_server_event&&) {
+                           cr_assert(false, "the refused request was delivered");
+                       }).value());
+    const descriptor client = std::move(start_connect(server->address(), socket_use::http)).value();
+    std::string request = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1;ext=";
+    request.append(65536, 'x');
+    std::size_t sent = 0;
+    io_watcher writer(guarded.m_loop, [&](int) {
+        const ssize_t count = send(client.get(), request.data(), request.size(), MSG_NOSIGNAL);
+        sent += count > 0 ? static_cast<std::size_t>(count) : 0;
+        request.assign(65536, 'x');
+        if (count < 0) {
+            writer.stop();
+        }
+    });
+    writer.watch(client.get(), EV_WRITE);
+    const std::string received = read_until(client, "\r\n\r\n", guarded.m_loop);
+    cr_assert(received.find("HTTP/1.1 431") == 0, "%s", received.c_str());
+    constexpr std::size_t socket_buffers = 8 << 20;
+    cr_assert(sent < socket_buffers, "%zu bytes", sent);
+}
+
+/** The server refuses a request, which is sent again under the same id, and then sends a second copy of its
+ * refusal. On the same connection the copy would be taken for the second answer, and the caller told that a
+ * request has not run that runs. */
+Test(wire, a_connection_carries_each_request_id_only_once)
+{
+    guarded_loop guarded;
+    const std::string refusal = "HTTP/1.1 503 Busy\r\nId: 1\r\nContent-Length: 0\r\n\r\n";
+    raw_server server(guarded.m_loop, {refusal, answer_to("1", "done")});
+    std::vector<std::uint16_t> statuses;
+    std::unique_ptr<http_client> client;
+    const auto send = [&](std::uint64_t exchange) {
+        client->send({exchange_id{exchange},
+                      server.address(),
+                      "POST",
+                      "/",
+                      {{"Id", "1"}},
+                      "",
+                      test_timeout,
+                      "Id",
+                      false});
+    };
+    client = http_client::make(guarded.m_loop, {}, [&](http_client_event&& event) {
+        statuses.push_back(std::get<http_answer>(event).m_status);
+        if (statuses.size() == 2) {
+            guarded.m_loop.stop();
+            return;
+        }
+        send(2);
+    });
+    send(1);
+    guarded.m_loop.run();
+    cr_assert(server.m_connections == 2);
+    cr_assert(statuses[0] == 503 && statuses[1] == 200);
+}
+
+/** A planned stop waits for in_progress: a reply that the client has not read yet must count. */
+Test(wire, a_reply_counts_as_in_progress_until_it_was_sent)
+{
+    guarded_loop guarded;
+    std::unique_ptr<http_server> server;
+    http_server_settings settings;
+    settings.m_address = {"127.0.0.1", 0};
+    constexpr std::size_t body_bytes = std::size_t{64} << 20U;
+    std::size_t in_progress_after_reply = 0;
+    server = std::move(
+        http_server::open(guarded.m_loop, settings, [&](http_server_event&& event) {
+            server->reply(
+                {std::get<http_request>(event).m_exchange, 200, {}, std::string(body_bytes, 'x') + "end"});
+            in_progress_after_reply = server->in_progress();
+        }).value());
+    const descriptor client = std::move(start_connect(server->address(), socket_use::http)).value();
+    const std::string request = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+    io_watcher writer(guarded.m_loop, [&](int) {
+        cr_assert(send(client.get(), request.data(), request.size(), MSG_NOSIGNAL) > 0);
+        writer.stop();
+    });
+    writer.watch(client.get(), EV_WRITE);
+    std::size_t received = 0;
+    io_watcher reader(guarded.m_loop, [&](int) {
+        std::string buffer(1 << 20, '\0');
+        const ssize_t count = recv(client.get(), buffer.data(), buffer.size(), 0);
+        received += count > 0 ? static_cast<std::size_t>(count) : 0;
+        if (received > body_bytes && server->in_progress() == 0) {
+            guarded.m_loop.stop();
+        }
+    });
+    reader.watch(client.get(), EV_READ);
+    guarded.m_loop.run();
+    cr_assert(in_progress_after_reply == 1);
+    cr_assert(server->in_progress() == 0);
+}
+
+/** No descriptor is left when a client connects, and no connection is open whose end would resume accepting.
+ */
+Test(wire, accepting_resumes_after_descriptors_ran_out)
+{
+    guarded_loop guarded;
+    std::unique_ptr<http_server> server;
+    http_server_settings settings;
+    settings.m_address = {"127.0.0.1", 0};
+    server = std::move(http_server::open(guarded.m_loop, settings, [&](http_server_event&& event) {
+                           server->reply({std::get<http_request>(event).m_exchange, 200, {}, "served"});
+                       }).value());
+    const descriptor client = std::move(start_connect(server->address(), socket_use::http)).value();
+    rlimit limit{};
+    cr_assert(getrlimit(RLIMIT_NOFILE, &limit) == 0);
+    const rlimit none{static_cast<rlim_t>(client.get() + 1), limit.rlim_max};
+    cr_assert(setrlimit(RLIMIT_NOFILE, &none) == 0);
+    timer restore(guarded.m_loop, [&] { cr_assert(setrlimit(RLIMIT_NOFILE, &limit) == 0); });
+    restore.set(std::chrono::milliseconds(50));
+    const std::string request = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+    io_watcher writer(guarded.m_loop, [&](int) {
+        cr_assert(send(client.get(), request.data(), request.size(), MSG_NOSIGNAL) > 0);
+        writer.stop();
+    });
+    writer.watch(client.get(), EV_WRITE);
+    cr_assert(read_until(client, "served", guarded.m_loop).find("served") != std::string::npos);
+}
