Fix: calls that wait too long tell their callers of the threshold

A sub-call waited in the queue until its deadline. The target that made it times out at that very moment, and answers 500 before the refusal reaches its node, so the answer that goes up carries no threshold.

Change: a queued sub-call is refused once it can no longer end by its deadline, at least 10 ms before it.

--- a/src/policy/admission.cpp
+++ b/src/policy/admission.cpp
@@ -22,6 +22,9 @@
 /** Retry hint after other refusals that may be retried. */
 constexpr duration busy_retry_delay = std::chrono::milliseconds(300);
 
+/** Time for a refusal to reach the target that made the sub-call. */
+constexpr duration refusal_delivery_time = std::chrono::milliseconds(10);
+
 /** Returns the retry hint for a refusal by @p reason; zero if a retry is not advised. */
 duration retry_after(rule reason)
 {
@@ -91,15 +94,19 @@
     }
 
     /**
-     * Returns the time at which @p request, queued at @p now, is refused. A sub-call waits until its
-     * deadline: until the threshold reacts to a surge, refusing sub-calls sooner would waste whole requests
-     * that could still end in time.
+     * Returns the time at which @p request, queued at @p now, is refused. A sub-call waits until it can no
+     * longer end by its deadline: until the threshold reacts to a surge, refusing sub-calls sooner would
+     * waste whole requests that could still end in time. Waiting until the deadline itself would be too long:
+     * its caller then times out, and answers before it learns the threshold that the refusal carries.
      */
     instant expiry_of(instant now, const admission_request& request) const
     {
+        if (request.m_depth > 0) {
+            const duration margin = std::max(m_run_estimate.value(now), refusal_delivery_time);
+            return request.m_deadline - std::min(margin, elapsed(now, request.m_deadline));
+        }
         const duration timeout = std::max(m_settings.m_queue_timeout, duration::zero());
-        return request.m_depth > 0 ? request.m_deadline
-                                   : std::min(request.m_deadline, add_saturating(now, timeout));
+        return std::min(request.m_deadline, add_saturating(now, timeout));
     }
 
     /** Returns whether a slot is free for @p request. */
