Fix: failed idempotent runs are repeated elsewhere, and failing targets lose share

A 500 was final for an idempotent call, and routing counted it as a success: only five failures in a row ejected a target.

Change: an idempotent call that a target answered 500, 502, 503 or 504 is repeated at another one, within the budget, unless the cause was a sub-call: a run whose sub-call failed, or is still open since the target's own call timed out, is final, so that only the hop directly above the failure repeats. A target's node tracks which part of its runs fails and reports a lower limit (the fourth power of the part that succeeds), so that all entries see it with any answer; without runs the ratio halves every 2 s, and the target is tried again.

--- a/src/call/context_func.cpp
+++ b/src/call/context_func.cpp
@@ -85,6 +85,22 @@
                        [name](std::string_view other) { return equal_ignoring_case(name, other); });
 }
 
+/** Returns whether the comma-separated @p list contains @p name. */
+bool lists_name(std::string_view list, const std::string& name)
+{
+    while (!list.empty()) {
+        const std::size_t comma = std::min(list.find(','), list.size());
+        std::string_view item = list.substr(0, comma);
+        item.remove_prefix(std::min(item.find_first_not_of(" \t"), item.size()));
+        item = item.substr(0, item.find_last_not_of(" \t") + 1);
+        if (equal_ignoring_case(item, name)) {
+            return true;
+        }
+        list.remove_prefix(std::min(comma + 1, list.size()));
+    }
+    return false;
+}
+
 } // namespace
 
 std::string write_context(const parent_reference& reference)
@@ -150,8 +166,7 @@
     header_list forwarded;
     const std::string* const connection = find_header(headers, "Connection");
     for (const header& field : headers) {
-        const bool connection_specific =
-            connection != nullptr && equal_ignoring_case(*connection, field.m_name);
+        const bool connection_specific = connection != nullptr && lists_name(*connection, field.m_name);
         if (!connection_specific && !is_among(hop_by_hop_headers, field.m_name) &&
             !is_among(own_headers, field.m_name)) {
             forwarded.push_back(field);
--- a/src/call/entry.cpp
+++ b/src/call/entry.cpp
@@ -43,25 +43,31 @@
     const std::shared_ptr<const config_set> previous_config = std::exchange(m_config, std::move(set));
     m_kinds = std::make_unique<const kind_index>(m_config);
     std::erase_if(m_splits, [this](const auto& item) { return !m_config->m_kinds.contains(item.first); });
-    caller_shares shares(m_config->m_unknown_callers, m_random());
-    for (const auto& [name, object] : m_config->m_callers) {
-        shares.put(name, object.m_share);
+    configure_shares(previous_config.get());
+    for (auto& [service, routes] : m_routers) {
+        routes.configure(routing_of(*m_config, service));
     }
-    const bool same_callers =
-        previous_config != nullptr && previous_config->m_callers.size() == m_config->m_callers.size();
-    if (!same_callers) {
-        m_shares = std::move(shares);
+    m_thresholds.retain([this](const kind_name& kind) { return m_config->m_kinds.contains(kind); });
+    std::erase_if(m_budgets, [this](const auto& item) { return !m_config->m_services.contains(item.first); });
+}
+
+/** Applies the limits of callers. What the callers of @p previous have used is kept, unless the limits of all
+ * callers without an object have changed. */
+void entry::configure_shares(const config_set* previous)
+{
+    if (previous == nullptr || previous->m_unknown_callers != m_config->m_unknown_callers) {
+        m_shares = caller_shares(m_config->m_unknown_callers, m_random());
     }
     else {
-        for (const auto& [name, object] : m_config->m_callers) {
-            m_shares.put(name, object.m_share);
+        for (const auto& [name, object] : previous->m_callers) {
+            if (!m_config->m_callers.contains(name)) {
+                m_shares.remove(name);
+            }
         }
     }
-    for (auto& [service, routes] : m_routers) {
-        routes.configure(routing_of(*m_config, service));
+    for (const auto& [name, object] : m_config->m_callers) {
+        m_shares.put(name, object.m_share);
     }
-    m_thresholds.retain([this](const kind_name& kind) { return m_config->m_kinds.contains(kind); });
-    std::erase_if(m_budgets, [this](const auto& item) { return !m_config->m_services.contains(item.first); });
 }
 
 void entry::put_target(instant now, const route_target& target)
--- a/src/call/entry_attempt.cpp
+++ b/src/call/entry_attempt.cpp
@@ -20,15 +20,16 @@
 /** Time after the deadline in which the target's node may still report the outcome of the attempt. */
 constexpr duration answer_grace_period = std::chrono::milliseconds(50);
 
-/** Range of statuses by which a target reports a transient failure. */
-constexpr std::uint16_t bad_gateway = 502;
+constexpr std::uint16_t internal_error = 500;
+constexpr std::uint16_t not_implemented = 501;
 constexpr std::uint16_t gateway_timeout = 504;
 
-/** Returns whether @p response is a target's transient failure, so that another attempt may succeed. */
+/** Returns whether @p response is a target's own failure, so that an attempt at another target may succeed.
+ */
 bool is_transient_failure(const answer& response)
 {
-    return response.m_rule == rule::none && response.m_status >= bad_gateway &&
-           response.m_status <= gateway_timeout;
+    return response.m_rule == rule::none && response.m_status >= internal_error &&
+           response.m_status <= gateway_timeout && response.m_status != not_implemented;
 }
 
 /** Returns the result to record in routing for @p response. */
--- a/src/call/entry_base.h
+++ b/src/call/entry_base.h
@@ -143,6 +143,7 @@
         std::vector<std::int64_t> m_credits; ///< Current credit of each part, in units of weight.
     };
 
+    void configure_shares(const config_set* previous);
     answer prepare(instant now, const entry_request& request, const request_fields& fields,
                    open_call& new_call);
     answer prepare_root(instant now, open_call& new_call);
--- a/src/call/entry_sub_call.cpp
+++ b/src/call/entry_sub_call.cpp
@@ -83,7 +83,8 @@
     parent->m_tokens.return_tokens(current.m_tokens.available(), current.m_granted_tokens);
     running_calls::end_sub_call(*parent, now);
     parent->m_threshold = std::max(parent->m_threshold, response.m_load.m_threshold);
-    parent->m_sub_call_failed |= response.m_rule != rule::none || response.m_final;
+    parent->m_sub_call_failed |=
+        response.m_rule != rule::none || response.m_final || response.m_status >= min_failure_status;
 }
 
 } // namespace waxwing
--- a/src/call/runner.cpp
+++ b/src/call/runner.cpp
@@ -233,11 +233,11 @@
     return std::min(m_admission.next_tick(), m_crash_answers_at);
 }
 
-void runner::close(rule reason, std::vector<runner_action>& actions)
+void runner::close(instant now, rule reason, std::vector<runner_action>& actions)
 {
     m_closed = reason;
     m_admission.close(reason, m_admission_actions);
-    apply(instant{}, actions);
+    apply(now, actions);
 }
 
 void runner::reopen()
--- a/src/call/runner_base.h
+++ b/src/call/runner_base.h
@@ -93,7 +93,7 @@
     bool release(instant now, const std::string& name, std::vector<runner_action>& actions);
 
     /** Refuses new calls with @p reason; runs in progress continue. */
-    void close(rule reason, std::vector<runner_action>& actions);
+    void close(instant now, rule reason, std::vector<runner_action>& actions);
 
     /** Accepts calls again. */
     void reopen();
--- a/src/call/runner_end.cpp
+++ b/src/call/runner_end.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-constexpr std::uint16_t min_failure_status = 500;
-
 /** Delay of the answers after a crash; the other nodes know of the crash by then. */
 constexpr duration crash_answer_delay = std::chrono::milliseconds(20);
 
@@ -21,7 +19,9 @@
         return;
     }
     open_call& current = position->second;
-    current.m_cancelled = true;
+    if (std::exchange(current.m_cancelled, true)) {
+        return;
+    }
     ++m_counters.m_cancelled;
     if (current.m_stage == stage::queued && m_admission.cancel(attempt)) {
         refuse(now, attempt, refusal(rule::cancelled), actions);
@@ -74,6 +74,8 @@
     const open_call& current = position->second;
     const running_call* const running = m_running.find(attempt);
     const bool sub_call_failed = running != nullptr && running->m_sub_call_failed;
+    // A target whose sub-call has timed out answers before the answer to that sub-call arrives.
+    const bool sub_call_open = running != nullptr && running->m_open_sub_calls > 0;
     run_end end = response.m_status >= min_failure_status ? run_end::failed : run_end::succeeded;
     if (is_target_refusal(current, response) && !sub_call_failed) {
         response = refusal(rule::target_refused);
@@ -83,7 +85,7 @@
         response.m_state = run_state::ran;
         response.m_rule = rule::none;
         response.m_headers = end_to_end_headers(response.m_headers);
-        response.m_final = end == run_end::failed && sub_call_failed;
+        response.m_final = end == run_end::failed && (sub_call_failed || sub_call_open);
         end = response.m_final ? run_end::cancelled : end;
         m_counters.m_succeeded += end == run_end::succeeded ? 1 : 0;
     }
@@ -177,7 +179,7 @@
     broadcast(m_quarantine.on_crash(now, fingerprints, ran_exclusively && fingerprints.size() == 1), actions);
     actions.emplace_back(runner_crash{fingerprints.size()});
     m_crash_answers_at = now + crash_answer_delay;
-    close(rule::target_unreachable, actions);
+    close(now, rule::target_unreachable, actions);
 }
 
 /** Releases the slot of @p attempt and answers it. */
--- a/src/call/running_base.h
+++ b/src/call/running_base.h
@@ -25,6 +25,9 @@
     bool m_sub_call_failed = false; ///< Whether a sub-call was refused or failed.
 };
 
+/** Statuses from here on report a failure of the target. */
+inline constexpr std::uint16_t min_failure_status = 500;
+
 /**
  * Table of running calls, shared by the entry and the runner of a node. Its size is bounded by the target's
  * concurrency limit.
--- a/src/events/event_type.h
+++ b/src/events/event_type.h
@@ -21,6 +21,7 @@
     target_state_changed,
     target_crashed,
     announcement_refused,
+    load_probe_failed,
     drain_started,
     drain_finished,
     drain_overrun,
--- a/src/events/table/events.h
+++ b/src/events/table/events.h
@@ -50,6 +50,8 @@
     {302, severity::error, "target-crashed", "running", "The target died while requests were in progress."},
     {303, severity::warning, "announcement-refused", "path reason",
      "An announcement of a target is invalid; what is known of the target stays unchanged."},
+    {304, severity::warning, "load-probe-failed", "reason",
+     "The target's load endpoint did not answer; its health is judged by the health endpoint alone."},
     {310, severity::info, "drain-started", "in_progress",
      "The target is being drained and accepts no new work."},
     {311, severity::info, "drain-finished", "", "The target has finished its work in progress."},
--- a/src/node/call_task.cpp
+++ b/src/node/call_task.cpp
@@ -54,7 +54,7 @@
       m_commands(loop, [this](call_command&& command) { on_command(std::move(command)); }),
       m_timer(loop, [this] { on_timer(); })
 {
-    m_runner.close(rule::target_unreachable, m_runner_actions);
+    m_runner.close(event_loop::now(), rule::target_unreachable, m_runner_actions);
 }
 
 result<void> call_task::listen()
@@ -71,7 +71,7 @@
 void call_task::drain()
 {
     m_server->drain();
-    m_runner.close(rule::draining, m_runner_actions);
+    m_runner.close(event_loop::now(), rule::draining, m_runner_actions);
     process_actions();
 }
 
@@ -150,7 +150,7 @@
                            m_runner.reopen();
                        }
                        else {
-                           m_runner.close(message.m_why, m_runner_actions);
+                           m_runner.close(now, message.m_why, m_runner_actions);
                        }
                    },
                    [&](run_answered& message) {
--- a/src/node/operators_task.cpp
+++ b/src/node/operators_task.cpp
@@ -302,8 +302,6 @@
         refuse(request, rule::conflict, "the announcement differs from the node's settings");
         return;
     }
-    log_event(event::target_announced,
-              {{"service", announcement.m_service.m_value}, {"slots", std::to_string(announcement.m_slots)}});
     m_tasks.m_target.announce(announcement);
     answer_json(request.m_exchange, 200, {{"target", to_string(m_tasks.m_target.state())}});
 }
--- a/src/policy/admission.cpp
+++ b/src/policy/admission.cpp
@@ -1,6 +1,7 @@
 /** @file admission.cpp Admission at a target's node. */
 #include "policy/admission_base.h"
 
+#include "policy/failure_ratio_base.h"
 #include "policy/limit_base.h"
 #include "policy/number_func.h"
 #include "policy/queue_base.h"
@@ -47,6 +48,7 @@
     concurrency_limit m_limit;           ///< The concurrency limit.
     shed_threshold m_shed_threshold;     ///< The threshold below which calls are shed.
     run_estimate m_run_estimate;         ///< Lower estimate of the run time.
+    failure_ratio m_failure_ratio;       ///< Part of the runs that fail.
     call_table m_calls;                  ///< The waiting and running calls.
     rule m_close_reason = rule::none;    ///< The rule that refuses all calls while closed; none while open.
     std::size_t m_exclusive_waiting = 0; ///< Waiting exclusive calls.
@@ -74,6 +76,18 @@
     /** Returns whether @p request, started now, could still end by its deadline. */
     bool can_finish(instant now, const admission_request& request) const;
 
+    /**
+     * Returns the limit to report to peers. It is lowered while runs fail, far more than in proportion: a
+     * target that fails half of its calls serves no request whose tree makes several, and one that fails fast
+     * always looks idle.
+     */
+    std::uint32_t reported_limit(instant now) const
+    {
+        constexpr double failure_exponent = 4.0;
+        const double factor = std::pow(1.0 - m_failure_ratio.value(now), failure_exponent);
+        return std::max(1U, static_cast<std::uint32_t>(std::lround(m_limit.value(now) * factor)));
+    }
+
     /** Returns how many slots of @p limit are reserved for important calls. */
     std::uint32_t headroom(std::uint32_t limit) const;
 
@@ -322,6 +336,9 @@
     if (end == run_end::succeeded) {
         impl.m_run_estimate.record(now, run_time);
     }
+    if (end == run_end::succeeded || end == run_end::failed) {
+        impl.m_failure_ratio.record(now, end == run_end::failed);
+    }
     if (call->m_request.m_exclusive) {
         impl.m_exclusive_running = false;
         impl.end_barrier(now);
@@ -387,7 +404,7 @@
     load_report report;
     report.m_in_progress = static_cast<std::uint32_t>(m_state->m_calls.running());
     report.m_queued = static_cast<std::uint32_t>(m_state->m_calls.waiting());
-    report.m_limit = m_state->m_limit.value(now);
+    report.m_limit = m_state->reported_limit(now);
     report.m_threshold = m_state->m_shed_threshold.value();
     return report;
 }
--- a/src/policy/admission_base.h
+++ b/src/policy/admission_base.h
@@ -88,7 +88,9 @@
     /** Admits calls again after close. */
     void reopen();
 
-    /** Returns the load report that is sent to peers. */
+    /** Returns the load report that is sent to peers. Its limit is lower while runs at the target fail, so
+     * that peers send it less: a failing target that passes its health check would otherwise keep its share.
+     */
     load_report report(instant now) const;
 
 private:
--- a/src/policy/settings_type.h
+++ b/src/policy/settings_type.h
@@ -52,6 +52,8 @@
     double m_rate = 1000.0; ///< Sustained requests a second at one entry.
     double m_burst = 100.0; ///< Requests at once after an idle time; at least 1.
     double m_weight = 1.0;  ///< Weight of the caller's fair share under overload.
+
+    friend bool operator==(const share_settings&, const share_settings&) = default;
 };
 
 } // namespace waxwing
--- a/test/entry_test.cpp
+++ b/test/entry_test.cpp
@@ -39,6 +39,10 @@
     kind.m_attempts = 2;
     kind.m_retry = "few";
     set->m_kinds[kind.m_name] = kind;
+    kind.m_name.m_value = "order";
+    kind.m_path_prefix = "/order/";
+    kind.m_idempotent = false;
+    set->m_kinds[kind.m_name] = kind;
     retry_settings few;
     few.m_tokens = 100;
     few.m_budget_floor = 1000.0;
@@ -190,6 +194,42 @@
     }
 }
 
+/** A target that fails part of its requests while its health check passes must not fail those that another
+ * can run. Only the hop directly above it repeats: where a sub-call was the cause, that one was repeated
+ * already. */
+Test(entry, a_failed_run_is_repeated_elsewhere_only_if_idempotent_and_not_for_a_sub_call)
+{
+    for (const bool is_final : {false, true}) {
+        entry_fixture fixture;
+        entry_action action = fixture.send_request("/plain/x", {{"Id", "i"}});
+        const node_id first = std::get<entry_send>(action).m_node;
+        answer response;
+        response.m_state = run_state::ran;
+        response.m_status = 500;
+        response.m_final = is_final;
+        response.m_retry_tokens = sent_call(action).m_context.m_retry_tokens;
+        fixture.m_actions.clear();
+        fixture.m_entry.on_answer(fixture.m_now, std::get<entry_send>(action).m_attempt, response,
+                                  fixture.m_actions);
+        fixture.m_now += std::chrono::milliseconds(1);
+        fixture.m_entry.tick(fixture.m_now, fixture.m_actions);
+        const auto* const repeat = std::get_if<entry_send>(&fixture.m_actions.back());
+        cr_assert((repeat != nullptr) == !is_final);
+        cr_assert(is_final || repeat->m_node != first);
+    }
+    entry_fixture fixture;
+    const entry_action action = fixture.send_request("/order/x", {{"Id", "i"}});
+    answer response;
+    response.m_state = run_state::ran;
+    response.m_status = 500;
+    response.m_retry_tokens = sent_call(action).m_context.m_retry_tokens;
+    fixture.m_actions.clear();
+    fixture.m_entry.on_answer(fixture.m_now, std::get<entry_send>(action).m_attempt, response,
+                              fixture.m_actions);
+    cr_assert(std::get<entry_reply>(fixture.m_actions.back()).m_answer.m_status == 500,
+              "orders run at most once");
+}
+
 /** Targets that refuse some of their calls at random may accept the next one, so they are retried. */
 Test(entry, targets_that_refuse_are_retried_in_turn_up_to_a_limit)
 {
@@ -247,3 +287,37 @@
     const entry_action unknown = fixture.send_request("/other/x", {{"Id", "i"}});
     cr_assert(std::get<entry_reply>(unknown).m_answer.m_rule == rule::unknown_service);
 }
+
+/** A caller is replaced by another, and later the limits of all callers without an object change. */
+Test(entry, changed_limits_of_callers_apply_though_their_number_stays)
+{
+    entry_fixture fixture;
+    const auto limited = [](const char* name, double unknown_rate) {
+        auto set = std::make_shared<config_set>(*configuration());
+        set->m_callers[caller_name{name}] = caller_object{caller_name{name}, share_settings{0.001, 1.0, 1.0}};
+        set->m_unknown_callers.m_rate = set->m_unknown_callers.m_burst = unknown_rate;
+        return set;
+    };
+    const auto is_admitted = [&](const char* caller) {
+        bool admitted = true;
+        for (int count = 0; count < 5; ++count) {
+            const entry_action action = fixture.send_request("/plain/x", {{"Waxwing-Caller", caller}}, false);
+            admitted = std::holds_alternative<entry_send>(action);
+        }
+        return admitted;
+    };
+    fixture.m_entry.configure(limited("a", 1.0e6));
+    cr_assert(!is_admitted("a") && is_admitted("b"));
+    fixture.m_entry.configure(limited("b", 1.0e6));
+    cr_assert(is_admitted("a") && !is_admitted("b"));
+    fixture.m_entry.configure(limited("b", 1.0));
+    cr_assert(!is_admitted("c"));
+}
+
+/** A header that concerns one connection only must not reach the target. */
+Test(entry, each_header_that_connection_lists_is_dropped)
+{
+    const header_list forwarded = end_to_end_headers(
+        {{"Connection", "keep-alive, X-One ,x-two"}, {"X-One", "1"}, {"X-Two", "2"}, {"X", "3"}});
+    cr_assert(forwarded.size() == 1 && forwarded.front().m_name == "X");
+}
--- a/test/fleet_model.h
+++ b/test/fleet_model.h
@@ -133,7 +133,7 @@
             return;
         case step_type::drain:
             node.m_draining_until = until;
-            node.m_runner->close(rule::draining, node.m_runner_actions);
+            node.m_runner->close(m_now, rule::draining, node.m_runner_actions);
             return carry_out_actions(index);
         case step_type::repeat_calls:
             m_repeat_until = until;
--- a/test/policy_admission_test.cpp
+++ b/test/policy_admission_test.cpp
@@ -217,7 +217,7 @@
  * At the start of a surge, the queue at the end of a call chain grows to half a second, until the entries
  * refuse more. Sub-calls that can still end by their deadline must not be refused meanwhile.
  */
-Test(admission, a_sub_call_waits_until_its_deadline_and_a_whole_request_a_short_time)
+Test(admission, a_sub_call_waits_while_it_can_end_in_time_and_a_whole_request_a_short_time)
 {
     admission control(make_settings(1));
     std::vector<admission_action> actions;
@@ -454,3 +454,56 @@
     cr_assert(sub_calls_shed == 0, "%zu sub-calls were shed", sub_calls_shed);
     cr_assert(roots_shed > 500, "%zu whole requests were shed", roots_shed);
 }
+
+/** A target whose own call times out answers at once. A refusal at that moment comes too late to tell it why.
+ */
+Test(admission, a_sub_call_is_refused_before_its_caller_times_out)
+{
+    admission control(make_settings(1));
+    std::vector<admission_action> actions;
+    control.offer(start_time, make_request(1, 200), actions);
+    const instant deadline = start_time + std::chrono::milliseconds(700);
+    admission_request sub_call = make_request(2, 128, 0, deadline);
+    sub_call.m_depth = 3;
+    control.offer(start_time, sub_call, actions);
+    actions.clear();
+    const instant answered_by = deadline - std::chrono::milliseconds(10);
+    for (instant now = control.next_tick(); now <= answered_by; now = control.next_tick()) {
+        control.tick(now, actions);
+    }
+    cr_assert(actions.size() == 1 && attempt_number(actions[0]) == 2);
+}
+
+/** A target fails nearly half of its runs while its health check passes; half a minute later it is sound
+ * again. */
+Test(admission, a_target_that_fails_reports_a_lower_limit_until_it_recovers)
+{
+    admission control(make_settings(20));
+    std::vector<admission_action> actions;
+    instant now = start_time;
+    std::uint64_t attempt = 0;
+    const auto run = [&](bool failed) {
+        now += std::chrono::milliseconds(10);
+        control.offer(now, make_request(++attempt, 200), actions);
+        control.finish(now, {attempt}, std::chrono::milliseconds(1),
+                       failed ? run_end::failed : run_end::succeeded, actions);
+    };
+    for (int count = 0; count < 200; ++count) {
+        run(count % 200 == 7);
+    }
+    cr_assert(control.report(now).m_limit >= 18, "one failure in two hundred is no grey failure");
+    for (int count = 0; count < 100; ++count) {
+        run(count % 9 < 4);
+    }
+    cr_assert(control.report(now).m_limit <= 5);
+    for (int count = 0; count < 100; ++count) {
+        run(false);
+    }
+    cr_assert(control.report(now).m_limit >= 18);
+    for (int count = 0; count < 100; ++count) {
+        run(true);
+    }
+    cr_assert(control.report(now).m_limit == 1);
+    now += std::chrono::seconds(6);
+    cr_assert(control.report(now).m_limit > 10, "a target that gets no calls is tried again");
+}
--- /dev/null
+++ b/test/runner_test.cpp
@@ -0,0 +1,87 @@
+/** @file runner_test.cpp Tests of the calls at the node beside the target. */
+#include "call/call.h"
+
+#include <criterion/criterion.h>
+
+using namespace waxwing;
+
+namespace {
+
+constexpr instant start_time{std::chrono::hours(1)};
+
+/** A runner with one call in progress at its target. */
+struct runner_fixture {
+    running_calls m_running;
+    runner m_runner{settings(), m_running};
+    std::vector<runner_action> m_actions;
+
+    static runner_settings settings()
+    {
+        runner_settings values;
+        values.m_self = node_id{"n"};
+        values.m_service = service_name{"front"};
+        values.m_slots = 4;
+        return values;
+    }
+
+    runner_fixture()
+    {
+        m_runner.configure(std::make_shared<config_set>());
+        call incoming;
+        incoming.m_service = service_name{"front"};
+        incoming.m_idempotent = true;
+        incoming.m_context.m_time_left = std::chrono::seconds(5);
+        m_runner.on_call(start_time, node_id{"o"}, attempt_id{1}, std::move(incoming), m_actions);
+        cr_assert(m_running.find(attempt_id{1}) != nullptr);
+        m_actions.clear();
+    }
+
+    /** Ends the run with the status 500. @return the answer that goes up. */
+    answer fail()
+    {
+        answer response;
+        response.m_status = 500;
+        m_runner.on_target_answer(start_time, attempt_id{1}, response, m_actions);
+        return std::get<runner_answer>(m_actions.back()).m_answer;
+    }
+};
+
+} // namespace
+
+/** A target fails since a sub-call failed or is late: another run would make the same sub-calls again. */
+Test(runner, a_failure_caused_by_a_sub_call_is_final)
+{
+    runner_fixture own_failure;
+    cr_assert(!own_failure.fail().m_final);
+    runner_fixture failed_sub_call;
+    failed_sub_call.m_running.find(attempt_id{1})->m_sub_call_failed = true;
+    cr_assert(failed_sub_call.fail().m_final);
+    runner_fixture late_sub_call;
+    running_calls::begin_sub_call(*late_sub_call.m_running.find(attempt_id{1}), start_time);
+    cr_assert(late_sub_call.fail().m_final);
+}
+
+/** The time for which a refused call has waited is logged; callers that give up twice count once. */
+Test(runner, a_close_refuses_waiting_calls_with_their_real_waiting_time)
+{
+    runner_fixture fixture;
+    for (std::uint64_t number = 2; number <= 10; ++number) {
+        call incoming;
+        incoming.m_service = service_name{"front"};
+        incoming.m_idempotent = true;
+        incoming.m_context.m_time_left = std::chrono::seconds(5);
+        fixture.m_runner.on_call(start_time, node_id{"o"}, attempt_id{number}, std::move(incoming),
+                                 fixture.m_actions);
+    }
+    fixture.m_actions.clear();
+    fixture.m_runner.cancel(start_time, attempt_id{1}, fixture.m_actions);
+    fixture.m_runner.cancel(start_time, attempt_id{1}, fixture.m_actions);
+    cr_assert(fixture.m_runner.counters().m_cancelled == 1 && fixture.m_actions.size() == 1);
+    fixture.m_actions.clear();
+    const duration waited = std::chrono::milliseconds(200);
+    fixture.m_runner.close(start_time + waited, rule::draining, fixture.m_actions);
+    cr_assert(!fixture.m_actions.empty());
+    for (const runner_action& action : fixture.m_actions) {
+        cr_assert(std::get<runner_answer>(action).m_took == waited);
+    }
+}
