Codechange: answers and failures of load probes are told apart first

Cause: clang-tidy could not see that one of the two pointers is set. Ruled out: a suppression. Change: two plain conditions in place of a choice between the pointers; the behaviour is the same. Conclusion: none beyond this.

--- a/src/node/target_task.cpp
+++ b/src/node/target_task.cpp
@@ -221,17 +221,17 @@
 {
     const auto* const http_response = std::get_if<http_answer>(&event);
     const auto* const failure = std::get_if<http_failure>(&event);
-    if ((failure != nullptr ? failure->m_exchange : http_response->m_exchange) == m_load_probe) {
-        if (failure != nullptr) {
-            log_event(event::load_probe_failed, {{"reason", failure->m_text}});
-            return;
-        }
+    if (http_response != nullptr && http_response->m_exchange == m_load_probe) {
         const nlohmann::json load = nlohmann::json::parse(http_response->m_body, nullptr, false);
         if (load.is_object() && load.contains("slots") && load["slots"].is_number_unsigned()) {
             m_on_output(limit_hinted{load["slots"].get<std::uint32_t>()});
         }
         return;
     }
+    if (failure != nullptr && failure->m_exchange == m_load_probe) {
+        log_event(event::load_probe_failed, {{"reason", failure->m_text}});
+        return;
+    }
     const bool accepts = failure == nullptr || failure->m_kind == http_failure_kind::timeout;
     if (std::exchange(m_probe_requested, false)) {
         m_on_output(probe_ended{accepts});
