--- a/test/http_wire_test.cpp
+++ b/test/http_wire_test.cpp
@@ -372,7 +372,8 @@
     sampler.set(std::chrono::milliseconds(1));
     const auto events = exchange_at_once(server.address(), guarded, 40);
     cr_assert(std::all_of(events.begin(), events.end(), is_lost));
-    // Twice the limit, since a string that grows holds its old and its new buffer.
+    // Four times the limit: a string that grows holds its old and its new buffer, each up to twice its
+    // length.
     cr_assert(max_held <= std::size_t{96} << 20U, "%zu bytes", max_held);
 }
 
--- a/test/overload_model.h
+++ b/test/overload_model.h
@@ -6,7 +6,6 @@
 
 #include <functional>
 #include <map>
-#include <queue>
 #include <unordered_map>
 
 namespace waxwing {
@@ -19,11 +18,12 @@
     unsigned m_calls = 4;         ///< Calls to that service for each request, one after the other.
     double m_run_seconds = 0.055; ///< Mean run time of one of them.
     double m_order_ratio = 0.3;   ///< Orders among the requests; the others are lookups.
-    duration m_sub_call_timeout = std::chrono::milliseconds(700);
+    duration m_sub_call_timeout = std::chrono::milliseconds(700); ///< After which its caller gives up.
     duration m_upstream_delay =
         std::chrono::milliseconds(700);                     ///< Mean time spent above the deepest service.
     duration m_answer_delay = std::chrono::milliseconds(3); ///< From the deepest service back to its caller.
-    duration m_report_interval = std::chrono::milliseconds(200);
+    duration m_report_interval =
+        std::chrono::milliseconds(200); ///< Age of the load by which targets are picked.
     /** Factors on the run time; targets take them in turn. */
     std::vector<double> m_speeds{0.7, 0.7, 1.6};
 };
