Add: log events for a restored store and for interrupted watches of the configuration

The logs said nothing between the outage and 13 s later, so a row that is ignored as old could not be told from a change that is not reported.

Change: W503 watch-failed (first failure in a row, and a history that is gone), W504 config-ignored (a row below the version known), W512 store-restored (the header Store-Era rises). No decision changes.

Now the logs show the cause: the watchers read revision 9 again with row version 19 and ignore it, since 20 is known; the store then gives 20 to the row of revision 11, which is taken for the row that is known. One newly elected watcher ends it at 30.02 s.

Ruled out in this run: a feed that misses changes (it answered 410) and an older configuration from the copy (the operator had written it again).

--- a/src/events/table/events.h
+++ b/src/events/table/events.h
@@ -67,10 +67,20 @@
      "This version can't read an accepted revision; the previous one stays in force. Upgrade the node."},
     {502, severity::info, "watch-changed", "watching",
      "This node starts or stops watching the configuration in the platform's table for its data centre."},
+    {503, severity::warning, "watch-failed", "reason",
+     "The watch of the configuration was interrupted; it reads the row again, with a growing delay while "
+     "calls "
+     "fail."},
+    {504, severity::warning, "config-ignored", "row known reason",
+     "A row with the configuration is not used: row is its version in the platform's table, known the "
+     "version of "
+     "the last row that was read."},
     {510, severity::warning, "platform-failing", "reason",
      "The platform's table or object store is failing."},
     {511, severity::info, "platform-recovered", "outage_ms",
      "The platform's table and object store respond again."},
+    {512, severity::warning, "store-restored", "era",
+     "The platform has restored its store from an older copy: what was written since that copy is lost."},
     {600, severity::warning, "request-suspected", "fingerprint",
      "A request is suspected because it was in progress when a target died."},
     {601, severity::error, "request-quarantined", "fingerprint",
