Fix: a revision whose row gets a version again was ignored after the store was restored

Cause: the store's versions go back and are given out again, and the adapter took a row only if its version was above that of the last row. Evidence: with the logs of the commit before, all watchers ignore row 19 as 20 is known; then revision 11 gets 20 and is taken for the known row. Class: a number of an outside system is compared as if it could only rise.

Ruled out: a silent feed (all feeds are reset at the start of the outage), an older configuration from the copy (the operator had written again before the first read).

Change: versions of rows are ordered by the store's era first (row_version), and answers of an earlier era than that of another answer are not used. A row of a new era with an older revision than the one known is ignored and logged (W504), so that an object that peers may still ask for stays. Numbers in conditions of transactions are sent as before; an uncertain commit is judged by the number alone, as the store compares it.

--- a/src/base/id_type.h
+++ b/src/base/id_type.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <tuple>
 #include <utility>
 
 namespace waxwing {
@@ -44,6 +45,26 @@
 using incarnation = number_id<struct incarnation_tag>; ///< One run of a process; higher for a later run.
 using revision = number_id<struct revision_tag>;       ///< One accepted configuration; zero is none.
 
+/**
+ * Version of a row of the platform's table. Within an era each write gets a higher number. The platform
+ * begins a new era when it restores the table from an older copy; numbers given out after that copy are then
+ * used again.
+ */
+struct row_version {
+    std::uint64_t m_era = 0;    ///< Number of restorations before the row was read.
+    std::uint64_t m_number = 0; ///< Zero if the row does not exist.
+
+    friend bool operator==(row_version a, row_version b)
+    {
+        return a.m_era == b.m_era && a.m_number == b.m_number;
+    }
+    friend bool operator!=(row_version a, row_version b) { return !(a == b); }
+    friend bool operator<(row_version a, row_version b)
+    {
+        return std::tie(a.m_era, a.m_number) < std::tie(b.m_era, b.m_number);
+    }
+};
+
 using node_id = name_id<struct node_tag>;         ///< A node, by the name in its settings.
 using service_name = name_id<struct service_tag>; ///< A service, by its name in the configuration.
 using caller_name = name_id<struct caller_tag>;   ///< A caller, by its name in the configuration.
--- a/src/config/publication_base.cpp
+++ b/src/config/publication_base.cpp
@@ -111,7 +111,7 @@
     const std::string key = change_key(m_change.m_note.m_change_id);
     m_step = publish_step::fence;
     return publish_commit{
-        m_change.m_note.m_change_id + "/abandon", {{key, 0}}, {{key, std::string(abandoned_value)}}};
+        m_change.m_note.m_change_id + "/abandon", {{key, {}}}, {{key, std::string(abandoned_value)}}};
 }
 
 publish_action publisher::state::read(publish_step step, std::string key)
@@ -123,7 +123,7 @@
 publish_action publisher::state::on_head_row(const std::optional<row_state>& row)
 {
     m_head = revision_info{};
-    m_head_version = 0;
+    m_head_version = {};
     if (row) {
         const result<revision_info> head = decode_revision(row->m_value);
         if (head.has_error()) {
@@ -156,7 +156,8 @@
     if (m_refusal) {
         return write_fence();
     }
-    if (m_uncertain_version && *m_uncertain_version != m_head_version) {
+    // The platform compares numbers only, so a commit in flight may take effect in a later era too.
+    if (m_uncertain_version && m_uncertain_version->m_number != m_head_version.m_number) {
         m_uncertain_version.reset();
     }
     return fetch_inputs();
--- a/src/config/publication_base.h
+++ b/src/config/publication_base.h
@@ -75,8 +75,8 @@
 
 /** A row of the table. */
 struct row_state {
-    std::string m_value;         ///< Value.
-    std::uint64_t m_version = 0; ///< Version.
+    std::string m_value;   ///< Value.
+    row_version m_version; ///< Version.
 };
 
 /** Result of a commit. */
@@ -103,8 +103,8 @@
 /** Action: run the transaction and call publisher::on_commit. */
 struct publish_commit {
     std::string m_token; ///< Idempotency token; equal for equal transactions.
-    std::vector<std::pair<std::string, std::uint64_t>>
-        m_checks; ///< Required versions by key; zero requires that the row does not exist.
+    std::vector<std::pair<std::string, row_version>>
+        m_checks; ///< Required versions by key; number zero requires that the row does not exist.
     std::vector<std::pair<std::string, std::optional<std::string>>>
         m_writes; ///< Values by key; none deletes the row.
 };
--- a/src/config/publisher_merge.cpp
+++ b/src/config/publisher_merge.cpp
@@ -135,10 +135,10 @@
     const std::string row = encode_revision(m_next);
     const std::string change_row_key = change_key(m_change.m_note.m_change_id);
     const std::string content_digest =
-        digest_of(row + std::to_string(m_head_version)).substr(0, token_digits);
+        digest_of(row + std::to_string(m_head_version.m_number)).substr(0, token_digits);
     publish_commit transaction{
         m_change.m_note.m_change_id + "/" + content_digest,
-        {{std::string(head_key), m_head_version}, {change_row_key, 0}},
+        {{std::string(head_key), m_head_version}, {change_row_key, {}}},
         {{std::string(head_key), row}, {audit_key(m_next.m_revision), row}, {change_row_key, row}}};
     if (m_expired) {
         transaction.m_writes.emplace_back(audit_key(m_expired->m_revision), std::nullopt);
--- a/src/config/publisher_state_base.h
+++ b/src/config/publisher_state_base.h
@@ -38,14 +38,14 @@
     std::string m_base_digest;           ///< Digest of the base; empty until known.
     std::string m_target_digest;         ///< Digest of the rollback's target; empty until known.
     revision_info m_head;                ///< The newest revision; its number is zero if there is none.
-    std::uint64_t m_head_version = 0;    ///< Version of the head row.
+    row_version m_head_version;          ///< Version of the head row.
     std::map<std::string, std::string> m_objects; ///< Fetched configurations by digest.
     std::string m_awaited_digest;                 ///< Digest of the object being fetched.
 
     revision_info m_next;                   ///< The revision to commit.
     std::string m_put_digest;               ///< Digest of the object that was put last.
     std::optional<revision_info> m_expired; ///< The revision whose rows the commit deletes.
-    std::optional<std::uint64_t>
+    std::optional<row_version>
         m_uncertain_version;              ///< Head version that a commit with unknown outcome requires.
     std::optional<publish_end> m_refusal; ///< The outcome to return once the fence is written.
 
--- a/src/events/table/events.h
+++ b/src/events/table/events.h
@@ -72,9 +72,8 @@
      "calls "
      "fail."},
     {504, severity::warning, "config-ignored", "row known reason",
-     "A row with the configuration is not used: row is its version in the platform's table, known the "
-     "version of "
-     "the last row that was read."},
+     "A row with the configuration is not used: row is its era and version in the platform's table, known "
+     "those of the last row that was read."},
     {510, severity::warning, "platform-failing", "reason",
      "The platform's table or object store is failing."},
     {511, severity::info, "platform-recovered", "outage_ms",
--- a/src/storage/storage.h
+++ b/src/storage/storage.h
@@ -13,15 +13,15 @@
 
 /** A row of the table. */
 struct table_row {
-    std::string m_key;           ///< Unique; rows are ordered by it.
-    std::string m_value;         ///< Arbitrary bytes.
-    std::uint64_t m_version = 0; ///< Increases with each write of the row; zero if the row does not exist.
+    std::string m_key;     ///< Unique; rows are ordered by it.
+    std::string m_value;   ///< Arbitrary bytes.
+    row_version m_version; ///< Increases with each write of the row.
 };
 
 /** A condition of a transaction: the current version of the row. */
 struct table_check {
-    std::string m_key;           ///< Key of the row.
-    std::uint64_t m_version = 0; ///< The required version; zero if the row must not exist.
+    std::string m_key;     ///< Key of the row.
+    row_version m_version; ///< The required version; number zero if the row must not exist.
 };
 
 /** A write in a transaction. */
--- a/test/config_publication_world.h
+++ b/test/config_publication_world.h
@@ -32,13 +32,14 @@
         }
         for (const auto& [key, version] : commit.m_checks) {
             const auto row = m_rows.find(key);
-            answer->second = answer->second && (row == m_rows.end() ? 0 : row->second.m_version) == version;
+            answer->second =
+                answer->second && (row == m_rows.end() ? row_version{} : row->second.m_version) == version;
         }
         for (std::size_t index = 0; answer->second && index < commit.m_writes.size(); ++index) {
             const auto& [key, value] = commit.m_writes[index];
             m_rows.erase(key);
             if (value) {
-                m_rows[key] = row_state{*value, ++m_version};
+                m_rows[key] = row_state{*value, {0, ++m_version}};
             }
             if (key == head_key) {
                 m_revisions.push_back(decode_revision(*value).value());
--- a/test/config_publish_test.cpp
+++ b/test/config_publish_test.cpp
@@ -103,7 +103,7 @@
         if (!std::holds_alternative<publish_commit>(action) || !platform.m_delayed_commits.empty()) {
             return fault::none;
         }
-        platform.m_rows[std::string(head_key)] = row_state{"broken", 0};
+        platform.m_rows[std::string(head_key)] = row_state{"broken", {}};
         return fault::delayed;
     });
     cr_expect(end.m_result == publish_result::refused);
@@ -187,7 +187,7 @@
     const publish_end invalid_end = publish(platform, change(0, "[caller a]\nx = 1\n", "id"));
     cr_assert(invalid_end.m_result == publish_result::invalid && invalid_end.m_errors.size() == 1);
     cr_expect(invalid_end.m_errors.front().m_line == 2);
-    platform.m_rows[std::string(head_key)] = row_state{"broken", 1};
+    platform.m_rows[std::string(head_key)] = row_state{"broken", {0, 1}};
     cr_expect(publish(platform, change(0, one_caller, "id")).m_result == publish_result::refused);
 }
 
--- a/test/platform_client_test.cpp
+++ b/test/platform_client_test.cpp
@@ -20,6 +20,7 @@
     std::vector<http_request> m_requests;  ///< Requests that the server received.
     std::uint16_t m_status = 200;          ///< Status of the answers; zero means no answer.
     std::string m_body = "{}";             ///< Body of the answers.
+    std::string m_era;                     ///< Era that the answers name; empty if they name none.
     /** Closes the connections and the listening socket. */
     wakeup m_close_server{m_loop, [this] { m_server.reset(); }};
     bool m_closes_on_request = false; ///< Whether a request closes the server.
@@ -56,15 +57,17 @@
         else if (m_make_answer) {
             const auto [status, body] = m_make_answer(request);
             if (status != 0) {
-                m_server->reply({request.m_exchange, status, {}, body});
+                m_server->reply({request.m_exchange, status, headers(), body});
             }
         }
         else if (m_status != 0) {
-            m_server->reply({request.m_exchange, m_status, {}, m_body});
+            m_server->reply({request.m_exchange, m_status, headers(), m_body});
         }
         m_requests.push_back(std::move(request));
     }
 
+    header_list headers() const { return m_era.empty() ? header_list{} : header_list{{"Store-Era", m_era}}; }
+
     /** Returns a handler that stores its result in @p outcome and stops the loop. */
     template<class T>
     storage::handler<T> store_result(std::optional<result<T>>& outcome)
@@ -82,7 +85,7 @@
         m_status = status;
         m_body = body;
         std::optional<result<table_commit>> outcome;
-        table_transaction transaction{{{"t/a", 7}},
+        table_transaction transaction{{{"t/a", {0, 7}}},
                                       {{"t/a", std::string("\0\xff", 2)}, {"t/b", std::nullopt}}};
         m_store->commit(transaction, store_result(outcome));
         m_loop.run();
@@ -160,7 +163,8 @@
     const auto row = fixture.read(
         200,
         R"({"rows":[{"table":"waxwing-t","part":"","key":"a","value":"AP8=","ver":9}],"hasMore":false,"ver":9})");
-    cr_assert(row.value()->m_value == std::string("\0\xff", 2) && row.value()->m_version == 9);
+    cr_assert(row.value()->m_value == std::string("\0\xff", 2) &&
+              (row.value()->m_version == row_version{0, 9}));
     cr_assert(row.value()->m_key == "t/a");
     cr_assert(fixture.m_requests.front().m_path ==
               "/rows-get?table=waxwing-t&part=&limit=1&from=a&target=a%00");
