--- a/test/platform_restore_test.cpp
+++ b/test/platform_restore_test.cpp
@@ -174,3 +174,37 @@
     fixture.write(11);
     cr_assert(fixture.runs_until(11));
 }
+
+/** The counter has passed the version that the watch knows when it asks again, so that the store does not
+ * tell it that the history is gone. */
+Test(platform_restore, a_revision_written_before_the_watch_asks_again_is_taken)
+{
+    store_fixture fixture;
+    fixture.write(8);
+    fixture.write(9);
+    fixture.watch();
+    cr_assert(fixture.runs_until(9));
+    fixture.restore(8, 1);
+    fixture.write(11);
+    fixture.m_counter += 5;
+    fixture.m_is_down = false;
+    cr_assert(fixture.runs_until(11));
+}
+
+/** The connection of the feed survives the restoration, so only another call shows the new era. */
+Test(platform_restore, a_pending_feed_is_replaced_once_another_answer_names_a_new_era)
+{
+    store_fixture fixture;
+    fixture.write(8);
+    fixture.write(9);
+    fixture.watch();
+    cr_assert(fixture.runs_until(9));
+    fixture.run(std::chrono::milliseconds(50));
+    const std::vector<exchange_id> pending_feeds = std::exchange(fixture.m_feeds, {});
+    cr_assert(pending_feeds.size() == 1);
+    fixture.restore(8, 1);
+    fixture.write(11);
+    fixture.m_is_down = false;
+    fixture.m_store->list("member/", "", 1, [](const auto&) {});
+    cr_assert(fixture.runs_until(11));
+}
