--- a/test/platform_restore_test.cpp
+++ b/test/platform_restore_test.cpp
@@ -138,6 +138,30 @@
     }
 };
 
+/** Commits @p transaction. @return the outcome. */
+result<table_commit> commit(store_fixture& fixture, table_transaction transaction)
+{
+    std::optional<result<table_commit>> outcome;
+    fixture.m_store->commit(std::move(transaction), [&](const result<table_commit>& answer) {
+        outcome.emplace(answer);
+        fixture.m_loop.stop();
+    });
+    fixture.m_loop.run();
+    return *outcome;
+}
+
+/** Returns the version of the operator's row, as the client reads it. */
+row_version read_version(store_fixture& fixture)
+{
+    std::optional<row_version> version;
+    fixture.m_store->list("t/", "", 1, [&](const result<table_page>& page) {
+        version = page.value().m_rows.front().m_version;
+        fixture.m_loop.stop();
+    });
+    fixture.m_loop.run();
+    return *version;
+}
+
 } // namespace
 
 /** The store gives the version of the last row that was read to the next revision. */
@@ -208,3 +232,33 @@
     fixture.m_store->list("member/", "", 1, [](const auto&) {});
     cr_assert(fixture.runs_until(11));
 }
+
+/** The number of the row is the same in both eras, but not what it holds. */
+Test(platform_restore, a_transaction_on_a_row_of_an_earlier_era_fails_its_check)
+{
+    store_fixture fixture;
+    fixture.write(8);
+    fixture.write(9);
+    const row_version earlier_version = read_version(fixture);
+    fixture.restore(8, 1);
+    fixture.write(11);
+    fixture.m_is_down = false;
+    const row_version present_version = read_version(fixture);
+    cr_assert(earlier_version.m_number == present_version.m_number && earlier_version < present_version);
+    const table_write write{"t/a", "value"};
+    cr_assert(!commit(fixture, {{{"t/a", earlier_version}}, {write}}).value().m_applied);
+    cr_assert(fixture.m_commits.empty());
+    cr_assert(commit(fixture, {{{"t/a", present_version}}, {write}}).value().m_applied);
+}
+
+/** The store was restored after it had carried out a transaction, or before; the answer does not tell. */
+Test(platform_restore, a_transaction_answered_in_a_new_era_may_be_lost)
+{
+    store_fixture fixture;
+    fixture.write(8);
+    read_version(fixture);
+    fixture.restore(8, 1);
+    fixture.m_is_down = false;
+    cr_assert(commit(fixture, {{}, {{"t/a", "value"}}}).error().m_code == error_code::unknown);
+    cr_assert(commit(fixture, {{}, {{"t/a", "value"}}}).value().m_applied);
+}
