Fix: the row of a node that a restored table had lost was missing for up to ten minutes

What callers would have seen: a node that starts after the store was restored, in a fleet all of whose nodes started after the copy was made, reads an empty table, knows no other node and answers 503 (no-target) until one of the four nodes a minute that read the table finds it.

A node takes a row that was acknowledged for written, and writes it again every ten minutes only.

Change: storage reports a restoration (watch_restorations), and membership then writes the own row again within about 5 s, as it does where another node may have deleted it. Watchers see a restoration at once, other nodes with their next read of the head, within some 72 s; the twelve or more rows of the watchers are enough for a new node to find the rest.

Result: a_row_lost_by_a_restored_table_is_written_again fails without the change in membership (no row within 10 s) and passes with it; the restore test sees one report for one restoration.

--- a/src/member/membership.cpp
+++ b/src/member/membership.cpp
@@ -94,6 +94,11 @@
     m_state->m_next_register = now - m_state->m_paused + m_state->jittered(interval);
 }
 
+void membership::on_table_restored(instant now)
+{
+    m_state->register_soon(now - m_state->m_paused);
+}
+
 void membership::tick(instant now, std::vector<member_action>& actions)
 {
     const instant active_now = m_state->observe(now, actions);
--- a/src/member/membership_base.h
+++ b/src/member/membership_base.h
@@ -47,6 +47,9 @@
     /** Handles the outcome of writing the own row. */
     void on_registered(instant now, bool is_written);
 
+    /** Writes the own row again soon, as the platform has restored the table from an older copy. */
+    void on_table_restored(instant now);
+
     /** Merges registration rows (key, value) of the platform's table, and deletes those of members that have
      * been dead for long. */
     void add_registered(instant now, const std::vector<std::pair<std::string, std::string>>& rows,
--- a/src/member/membership_merge.cpp
+++ b/src/member/membership_merge.cpp
@@ -190,9 +190,7 @@
     const bool reported_unreachable =
         update.m_state != member_state::alive && update.m_version >= m_self.m_version;
     if (reported_unreachable && update.m_state == member_state::dead) {
-        // The other nodes may have deleted the row.
-        m_next_register =
-            std::min(m_next_register, active_now + jittered(m_settings.m_register_retry_interval));
+        register_soon(active_now); // The other nodes may have deleted the row.
     }
     if (reported_unreachable || update.m_version > m_self.m_version) {
         refute(active_now, update.m_version);
--- a/src/member/membership_state.h
+++ b/src/member/membership_state.h
@@ -108,6 +108,7 @@
     void run(instant active_now, actions& out);
     duration jittered(duration interval);
     void register_row(instant active_now, actions& out);
+    void register_soon(instant active_now);
     void discover(instant active_now, actions& out);
     void expire_removals(instant active_now);
     void repeat_leave(instant active_now, actions& out);
--- a/src/member/membership_timer.cpp
+++ b/src/member/membership_timer.cpp
@@ -108,6 +108,12 @@
     }
 }
 
+/** Writes the own row after about the retry interval, as it may be missing from the table. */
+void membership::state::register_soon(instant active_now)
+{
+    m_next_register = std::min(m_next_register, active_now + jittered(m_settings.m_register_retry_interval));
+}
+
 void membership::state::register_row(instant active_now, actions& out)
 {
     m_next_register = active_now + jittered(m_settings.m_register_retry_interval);
--- a/src/node/control_task.cpp
+++ b/src/node/control_task.cpp
@@ -50,6 +50,10 @@
     }
     m_datagrams = std::move(datagrams).value();
     m_storage.watch_row(std::string(head_key), [this] { read_head(); });
+    m_storage.watch_restorations([this] {
+        m_members.on_table_restored(event_loop::now());
+        process_actions();
+    });
     on_timer();
     return success();
 }
--- a/src/storage/storage.h
+++ b/src/storage/storage.h
@@ -81,6 +81,11 @@
      * state of the row. One that is suspended may report one more change. @pre the row has a watch. */
     virtual void set_watch_active(const std::string& key, bool is_active) = 0;
 
+    /** Registers the handler that is called each time the platform turns out to have restored the store from
+     * an older copy, so that writes acknowledged before may be lost. Active watches report the state of their
+     * rows again. */
+    virtual void watch_restorations(std::function<void()> on_restored) = 0;
+
     /** Stores the object @p name; storing the same bytes again is harmless. */
     virtual void put_object(const std::string& name, std::string bytes, handler<bool> on_done) = 0;
 
--- a/test/member_probe_test.cpp
+++ b/test/member_probe_test.cpp
@@ -308,3 +308,22 @@
         cr_assert(digests_match_once || pull->m_digests.size() == 64);
     }
 }
+
+/** The row of a node that started after the copy was made is missing from the restored table. */
+Test(member_probe, a_row_lost_by_a_restored_table_is_written_again)
+{
+    prober node;
+    node.m_node.on_registered(node.m_now, true);
+    node.m_node.on_table_restored(node.m_now);
+    bool is_written = false;
+    while (!is_written && node.m_now < start + 10s) {
+        node.m_now = std::max(node.m_now + 1ms, node.m_node.next_tick());
+        std::vector<member_action> actions;
+        node.m_node.tick(node.m_now, actions);
+        is_written = std::any_of(actions.begin(), actions.end(), [](const member_action& action) {
+            const auto* const registration = std::get_if<member_register>(&action);
+            return registration != nullptr && !registration->m_remove && !registration->m_value.empty();
+        });
+    }
+    cr_assert(is_written);
+}
--- a/test/platform_restore_test.cpp
+++ b/test/platform_restore_test.cpp
@@ -28,6 +28,7 @@
     bool m_is_down = false;              ///< Whether all calls are refused.
     std::vector<exchange_id> m_feeds;    ///< Feeds that wait for a change.
     std::vector<http_request> m_commits; ///< Transactions received; answered by m_on_commit.
+    int m_restorations = 0;              ///< Restorations that the client reported.
     std::uint64_t m_seen = 0;            ///< Revision of the head that the client reported last.
 
     store_fixture()
@@ -47,6 +48,7 @@
 
     void watch()
     {
+        m_store->watch_restorations([this] { ++m_restorations; });
         m_store->watch_row(std::string(head_key), [this] { read_head(); });
         m_store->set_watch_active(std::string(head_key), true);
     }
@@ -178,7 +180,7 @@
     fixture.m_is_down = false;
     fixture.run(std::chrono::milliseconds(500));
     fixture.write(11);
-    cr_assert(fixture.m_row_version == 20);
+    cr_assert(fixture.m_row_version == 20 && fixture.m_restorations == 1);
     cr_assert(fixture.runs_until(11));
 }
 
