--- a/test/table/faults.h
+++ b/test/table/faults.h
@@ -16,6 +16,7 @@
     table_slow,
     table_answer_lost,
     objects_down,
+    store_restored,
     node_killed,
     node_paused,
     node_restarted,
@@ -37,10 +38,11 @@
     clock_jumped
 };
 
-inline constexpr name_table<23> fault_names{"table down",
+inline constexpr name_table<24> fault_names{"table down",
                                             "table slow",
                                             "table's answer lost after the write",
                                             "object store down",
+                                            "store restored from an older copy",
                                             "node killed",
                                             "node paused past its timers",
                                             "node restarted",
@@ -144,6 +146,17 @@
     {fault::objects_down, fault_step::publish_spread, fault_step::publish_force,
      "spread/a_revision_reaches_all_while_the_platform_is_down", ""},
     {fault::objects_down, fault_step::member_announce, fault_step::drain_stop, "", uses_no_platform},
+    {fault::store_restored, fault_step::request_entry, fault_step::request_cancel, "", uses_no_platform},
+    {fault::store_restored, fault_step::publish_object, fault_step::publish_object, "", test_missing},
+    {fault::store_restored, fault_step::publish_head, fault_step::publish_head,
+     "platform_restore/a_transaction_on_a_row_of_an_earlier_era_fails_its_check", ""},
+    {fault::store_restored, fault_step::publish_spread, fault_step::publish_spread,
+     "platform_restore/a_revision_whose_row_gets_a_version_again_is_taken", ""},
+    {fault::store_restored, fault_step::publish_force, fault_step::publish_force,
+     "platform_restore/an_older_revision_from_the_copy_is_not_taken", ""},
+    {fault::store_restored, fault_step::member_announce, fault_step::member_leave,
+     "member_probe/a_row_lost_by_a_restored_table_is_written_again", ""},
+    {fault::store_restored, fault_step::drain_start, fault_step::drain_stop, "", uses_no_platform},
     // Nodes.
     {fault::node_killed, fault_step::request_entry, fault_step::request_cancel, fleet_random_steps, ""},
     {fault::node_killed, fault_step::publish_object, fault_step::publish_head,
