Add: the stand-in platform restores its store from a copy

The users' platform may restore its store from a copy some seconds old; the stand-in could not, so no deployment of processes met it.

Change: POST /faults takes copy and restore. All answers name Store-Era, which rises with each restoration; a feed after a version that the store does not have is answered with 410; waiting feeds are refused when the copy is restored.

--- a/standin/platform/main.cpp
+++ b/standin/platform/main.cpp
@@ -26,7 +26,8 @@
 
 Over HTTP: POST /faults with down (answer 503), slow_ms (delay of answers), lose_answers (ratio of writes that
 take effect but whose answer is dropped), lose_next (number of next writes whose answer is dropped), compact
-(drop the change history), writes and reads (limits per second); GET /counters.
+(drop the change history), writes and reads (limits per second), copy (take a copy of all rows and objects),
+restore (go back to the copy: raises Store-Era, which all answers name, and refuses waiting feeds); GET /counters.
 )";
 
 } // namespace
--- a/standin/platform/platform.cpp
+++ b/standin/platform/platform.cpp
@@ -4,6 +4,8 @@
 #include "platform/table/wire.h"
 
 #include <algorithm>
+#include <stdexcept>
+#include <utility>
 
 namespace waxwing {
 
@@ -137,6 +139,25 @@
     if (faults.value("compact", false)) {
         m_rows.compact();
     }
+    if (faults.value("copy", false)) {
+        m_copy = store_copy{m_rows, m_objects};
+    }
+    if (faults.value("restore", false)) {
+        restore_copy();
+    }
+}
+
+void platform_standin::restore_copy()
+{
+    if (!m_copy) {
+        throw std::invalid_argument("no copy was taken");
+    }
+    m_rows = m_copy->m_rows;
+    m_objects = m_copy->m_objects;
+    ++m_era;
+    for (const waiting_feed& feed : std::exchange(m_feeds, {})) {
+        reply(feed.m_exchange, 503, json::object());
+    }
 }
 
 void platform_standin::answer_commit(const http_request& request)
@@ -241,6 +262,7 @@
 
 void platform_standin::send(http_reply answer)
 {
+    answer.m_headers.push_back({std::string(wire::era_header), std::to_string(m_era)});
     if (m_answer_delay == duration::zero()) {
         m_server->reply(std::move(answer));
         return;
--- a/standin/platform/platform_base.h
+++ b/standin/platform/platform_base.h
@@ -10,6 +10,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -39,6 +40,12 @@
 private:
     using json = nlohmann::json;
 
+    /** Rows and objects as they were when the copy was taken. */
+    struct store_copy {
+        row_store m_rows;                             ///< Rows with their versions and history.
+        std::map<std::string, std::string> m_objects; ///< Contents of the objects by name.
+    };
+
     /** A feed that waits for a change. */
     struct waiting_feed {
         exchange_id m_exchange;                 ///< Exchange to answer.
@@ -53,6 +60,10 @@
     void on_request(const http_request& request);
     void increment_counter(const char* name);
     void apply_faults(const http_request& request);
+
+    /** Goes back to the copy, begins an era, and refuses the waiting feeds. Throws std::invalid_argument
+     * where no copy was taken. */
+    void restore_copy();
     void answer_commit(const http_request& request);
     void answer_read(const http_request& request);
     void answer_feed(const http_request& request);
@@ -68,7 +79,7 @@
     void reply_write(exchange_id id, std::uint16_t status, const json& body);
     void reply(exchange_id id, std::uint16_t status, const json& body);
 
-    /** Sends @p answer, after the delay set by the faults. */
+    /** Sends @p answer with the present era, after the delay set by the faults. */
     void send(http_reply answer);
 
     /** Destroys expired timers. A timer can't be destroyed within its own callback. */
@@ -83,6 +94,8 @@
     std::list<waiting_feed> m_feeds;
     std::vector<exchange_id> m_ended_feeds;
     std::map<std::string, std::string> m_objects; ///< Contents by name.
+    std::optional<store_copy> m_copy;
+    std::uint64_t m_era = 1; ///< Number of restorations, plus one.
     json m_counters{{"reads", 0}, {"writes", 0}, {"throttled", 0}, {"lost", 0}};
     bool m_down = false;
     duration m_answer_delay{};
--- a/standin/platform/row_store.cpp
+++ b/standin/platform/row_store.cpp
@@ -82,7 +82,7 @@
 
 std::optional<json> row_store::changes(const std::string& table, std::uint64_t version) const
 {
-    if (version < m_history_start) {
+    if (version < m_history_start || version > m_version) {
         return std::nullopt;
     }
     json rows = json::array();
--- a/standin/platform/row_store_base.h
+++ b/standin/platform/row_store_base.h
@@ -31,7 +31,8 @@
     nlohmann::json read(const std::string& table, const std::string& partition, const std::string& from,
                         const std::string& end, std::size_t limit) const;
 
-    /** Returns the changes of @p table after @p version; none if the history no longer reaches back to it. */
+    /** Returns the changes of @p table after @p version; none if the history no longer reaches back to it or
+     * does not reach it yet. */
     std::optional<nlohmann::json> changes(const std::string& table, std::uint64_t version) const;
 
     /** Drops the history. */
