Add: the soak restores the store, and injects faults in series

Change: a fault copies the store and restores it up to 6 s later in an outage of up to 2 s, beside the other faults. Signals, restarts and revisions also come in series of 2 to 5 on one or two nodes. No check is changed.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -2,6 +2,7 @@
 
 import random
 import signal
+import threading
 import time
 
 from promises import Accepted, Disturbance, Drain, DRAIN_BOUND_S
@@ -11,6 +12,12 @@
 MAX_FREEZE_S = 6.0  # Longer than the suspicion timeout and every timeout of a link.
 MIN_FAULT_S = 0.3
 MAX_FAULT_S = 4.0
+MAX_COPY_AGE_S = 6.0    # Age of the copy from which the store is restored.
+MAX_RESTORE_S = 2.0     # Outage of the store while it is restored.
+SERIES_LENGTH = (2, 5)  # Range of the number of faults in a series.
+MAX_SERIES_NODES = 2
+MAX_SERIES_FAULT_S = 1.5
+MAX_SERIES_PAUSE_S = 0.5
 STOP_TIMEOUT_S = 25.0          # Slightly longer than the `stop_limit` of the nodes.
 DRAIN_SAMPLE_DURATION_S = 1.5  # A drained target is sampled for this long after DRAIN_BOUND_S.
 DRAIN_SAMPLE_INTERVAL_S = 0.1
@@ -22,11 +29,14 @@
     def __init__(self, soak, seed):
         self._soak = soak
         self._random = random.Random(seed)
+        self._copy_lock = threading.Lock()
         self._kinds = (
             (3, self.kill_node), (3, self.freeze_node), (3, self.stop_node), (1, self.reload_node),
             (1, self.kill_target), (2, self.slow_target), (2, self.failing_target), (1, self.shedding_target),
             (3, self.impair_links), (1, self.reset_links), (2, self.impair_store_connection), (1, self.store_down),
             (1, self.store_slow), (1, self.store_loses_answers), (2, self.change_configuration), (1, self.drain_target),
+            (2, self.restore_store), (1, self.series_of_signals), (1, self.series_of_restarts),
+            (1, self.series_of_changes),
         )
 
     def draw(self):
@@ -150,6 +160,35 @@
         """Makes the store apply some writes without responding."""
         self._impair_store("store loses answers", duration_s, {"lose_answers": 0.3}, {"lose_answers": 0.0})
 
+    def restore_store(self, _instance, duration_s, fault_random):
+        """Copies the store, and some seconds later restores it from that copy in a short outage."""
+        with self._copy_lock:  # The store keeps one copy.
+            self._soak.lab.platform_fault(copy=True)
+            time.sleep(fault_random.uniform(0.0, MAX_COPY_AGE_S))
+            self._impair_store("store restored", duration_s / MAX_FAULT_S * MAX_RESTORE_S,
+                               {"down": True, "restore": True}, {"down": False})
+
+    def _series(self, kinds, instance, fault_random):
+        """Injects several faults in a row on one or more nodes."""
+        nodes = [instance] + fault_random.sample(self._soak.lab.instances,
+                                                 fault_random.randint(0, MAX_SERIES_NODES - 1))
+        for _ in range(fault_random.randint(*SERIES_LENGTH)):
+            kind = fault_random.choice(kinds)
+            kind(fault_random.choice(nodes), fault_random.uniform(MIN_FAULT_S, MAX_SERIES_FAULT_S), fault_random)
+            time.sleep(fault_random.uniform(0.0, MAX_SERIES_PAUSE_S))
+
+    def series_of_signals(self, instance, _lasts, fault_random):
+        """Sends several signals to nodes: SIGHUP, or SIGSTOP and SIGCONT."""
+        self._series((self.reload_node, self.freeze_node), instance, fault_random)
+
+    def series_of_restarts(self, instance, _lasts, fault_random):
+        """Kills or stops nodes several times and starts them again."""
+        self._series((self.kill_node, self.stop_node), instance, fault_random)
+
+    def series_of_changes(self, instance, _lasts, fault_random):
+        """Publishes several revisions."""
+        self._series((self.change_configuration,), instance, fault_random)
+
     def change_configuration(self, instance, _lasts, _random):
         """Publishes a new revision through one of the nodes."""
         revision = self._soak.publish_change(instance)
