Add: tests of a deployment of processes whose store is restored from an older copy

Change: in process_test, an accepted revision outlasts a restoration from a copy of before it, and a node that starts afterwards finds its peers, also if the copy is from before they registered. The stand-in's faults return the status of their answer.

--- a/test/process_test.py
+++ b/test/process_test.py
@@ -1,4 +1,5 @@
-"""Tests with waxwingd processes and stand-ins on loopback: kills, freezes, planned stops, a platform outage.
+"""Tests with waxwingd processes and stand-ins on loopback: kills, freezes, planned stops, an outage of the platform
+and a restored store.
 
 The tests wait for states with generous timeouts and check counts, so they do not depend on the speed of the machine.
 """
@@ -12,7 +13,7 @@
 import unittest
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "tools"))
-from lab import BUILD, HOST, Lab, request  # noqa: E402
+from lab import BUILD, HOST, ROOT, Lab, request  # noqa: E402
 
 DEPLOYMENT = {
     "region": "eg-north",
@@ -264,5 +265,85 @@
         self.assertEqual(call(one.callers, "records", "GET", "/conditions/1")[0], 200)
 
 
+class EarlyCopyLab(Lab):
+    """A deployment whose store is copied before the nodes write to it."""
+
+    def start_platform(self):
+        super().start_platform()
+        self.wait("the store is copied", self._copy_store)
+
+    def _copy_store(self):
+        try:
+            return self.platform_fault(copy=True) == 200
+        except OSError:
+            return False
+
+
+class RestoredStore(unittest.TestCase):
+    """The store goes down, is restored from an older copy, and comes back."""
+
+    port = BASE_PORT + 1500
+
+    def start(self, lab_type):
+        """Starts a deployment."""
+        RestoredStore.port += 100
+        self.lab = lab_type(DEPLOYMENT, base_port=RestoredStore.port)
+        self.addCleanup(self.lab.stop)
+        self.lab.start()
+
+    def revisions(self):
+        """Returns the revision in force at each node that responds, by name."""
+        statuses = {one.name: self.lab.status(one) for one in self.lab.instances}
+        return {name: status["revision"] for name, status in statuses.items() if "revision" in status}
+
+    def publish_change(self):
+        """Publishes a change and waits until it is in force on all nodes. Returns its revision."""
+        source = ROOT / DEPLOYMENT["configuration"]
+        files = []
+        for path in sorted(source.glob("*.ini")):
+            files.append(self.lab.folder / path.name)
+            files[-1].write_text(path.read_text().replace("rate = 2000", "rate = 2001"))
+        base = self.lab.status(self.lab.instances[0])["revision"]
+        done = self.lab.control_tool("apply", "--wait", "--why=change", f"--base={base}", *files)
+        self.assertEqual(done.returncode, 0, done.stdout + done.stderr)
+        self.lab.wait("the change is in force", lambda: set(self.revisions().values()) == {base + 1})
+        return base + 1
+
+    def restore_and_restart(self, accepted):
+        """Restores the store and starts a node anew afterwards; checks the accepted revision and the members."""
+        log_texts = [self.lab.folder / f"node-{one.name}.log" for one in self.lab.instances[:-1]]
+        restarted = self.lab.instances[-1]
+        self.lab.kill(restarted.node_process, signal.SIGKILL)
+        restarted.node_process.wait()
+        self.assertEqual(self.lab.platform_fault(down=True, restore=True), 200)
+        self.assertEqual(self.lab.platform_fault(down=False), 200)
+        self.lab.wait("a node reports the restored store",
+                      lambda: any("store-restored" in path.read_text() for path in log_texts))
+        self.lab.start_node(restarted)
+        seen = []
+
+        def is_ready():
+            seen.append(self.revisions())
+            return self.lab.all_ready()
+
+        self.lab.wait("all nodes are ready and see each other", is_ready)
+        self.lab.wait("the restarted node has the accepted revision",
+                      lambda: self.revisions().get(restarted.name) == accepted)
+        seen.append(self.revisions())
+        for revisions in seen:
+            running = {name: revision for name, revision in revisions.items() if name != restarted.name}
+            self.assertEqual(set(running.values()), {accepted})
+        self.assertEqual(order(self.lab.instances[0].callers, "restored")[0], 200)
+
+    def test_an_accepted_revision_outlasts_a_store_restored_from_before_it(self):
+        self.start(Lab)
+        self.assertEqual(self.lab.platform_fault(copy=True), 200)
+        self.restore_and_restart(self.publish_change())
+
+    def test_a_new_node_finds_its_peers_after_a_restore_from_before_they_registered(self):
+        self.start(EarlyCopyLab)
+        self.restore_and_restart(self.publish_change())
+
+
 if __name__ == "__main__":
     unittest.main(verbosity=2)
--- a/tools/lab.py
+++ b/tools/lab.py
@@ -198,8 +198,8 @@
                 request("POST", instance.target, "/faults", faults)
 
     def platform_fault(self, **faults):
-        """Sets the faults of the stand-in platform."""
-        request("POST", self.platform_port, "/faults", faults)
+        """Sets the faults of the stand-in platform. Returns the status of its answer."""
+        return request("POST", self.platform_port, "/faults", faults)[0]
 
     def kill(self, process, signal_number=signal.SIGKILL):
         """Sends a signal to a process of this deployment, if it still runs."""
