Fix: published revisions were lost for good after the store was restored

What callers would see: with our own publication, nobody writes lost rows again. After a restoration from a copy the head row goes back, e.g. from revision 9 to 7, while nodes keep 9 in force. A node that starts takes 7, and the next publications become 8 and 9 again, which nodes with 9 in force ignore.

A head below the revision in force was ignored.

Ruled out: a head that was only read late can't be told from a restored one by its number, so the platform decides: the transaction requires the version of the head row as it was read.

Change: a watcher that reads a head (or none) below its revision in force puts the objects of the lost revisions in its history and writes head, audit and change rows again in one transaction (spread_restore), with a delay after each attempt that doubles up to 20 s. It needs a store that accepts publications; the one with the operator's row doesn't. A restoration is logged (W513).

No run of real processes: the part in control_task is compiled, not exercised.

--- a/src/config/spread_base.cpp
+++ b/src/config/spread_base.cpp
@@ -3,10 +3,9 @@
 
 #include "config/delta_func.h"
 #include "config/spread_message_func.h"
+#include "config/spread_state_base.h"
 
 #include <algorithm>
-#include <deque>
-#include <map>
 
 namespace waxwing {
 
@@ -20,80 +19,9 @@
 /** Minimum interval between reads of the head row after failures. */
 constexpr duration retry_poll_interval = std::chrono::seconds(1);
 constexpr duration object_timeout = std::chrono::seconds(5);
-constexpr duration base_backoff = std::chrono::milliseconds(500);
-constexpr duration max_backoff = std::chrono::seconds(20);
-
-/** A revision that is or was in force on this node. */
-struct stored_revision {
-    revision_info m_info; ///< Its number and origin.
-    std::string m_text;   ///< Its configuration.
-};
-
-/** State of a peer. */
-struct spread_peer {
-    revision m_newest;                 ///< The newest revision that it has reported.
-    instant m_not_before{};            ///< Earliest time of the next request to it.
-    duration m_backoff = base_backoff; ///< Delay after the next failure.
-};
-
-/** A delta that has been requested from a peer. */
-struct delta_fetch {
-    node_id m_peer;                              ///< The peer.
-    instant m_deadline;                          ///< Time at which the request times out.
-    std::optional<spread_page> m_first_page;     ///< The first page received, without its data.
-    std::map<std::uint32_t, std::string> m_data; ///< Received data by page number.
-};
-
-/** An object that has been requested from the object store. */
-struct object_fetch {
-    revision_info m_info; ///< The revision that it holds.
-    instant m_deadline;   ///< Time after which it may be requested again.
-};
 
 } // namespace
 
-/** State of the distribution on one node. */
-struct spread::state {
-    spread_settings m_settings;                 ///< Intervals and limits.
-    random_source m_random;                     ///< Random source for jitter and the choice of peers.
-    std::deque<stored_revision> m_revisions;    ///< Recent revisions; the last one is in force.
-    std::size_t m_revision_bytes = 0;           ///< Total size of their configurations, in bytes.
-    revision m_unreadable;                      ///< The highest revision that this version can't parse.
-    std::map<node_id, spread_peer> m_peers;     ///< Peers, evicted beyond peer_limit.
-    std::vector<delta_fetch> m_fetches;         ///< Open requests to peers; at most fetch_limit.
-    std::optional<object_fetch> m_object_fetch; ///< Open request to the object store.
-    instant m_next_poll_at;                     ///< Time of the next read of the head row.
-    instant m_polled_at{};                      ///< Time of the last read of the head row.
-    bool m_is_watching = false;                 ///< Whether this node watches the head row.
-    bool m_fetch_failed = false;                ///< Whether a peer failed to deliver the revision needed now.
-    instant m_window_since;                     ///< Start of the current rate limit window.
-    unsigned m_answers = 0;                     ///< Requests from peers in this window.
-
-    revision in_force() const
-    {
-        return m_revisions.empty() ? revision{} : m_revisions.back().m_info.m_revision;
-    }
-    bool is_needed(revision number) const;
-    duration jitter(duration mean);
-    duration poll_interval();
-    const std::string* find_text(revision number) const;
-    void apply_revision(instant now, const revision_info& info, std::string text,
-                        std::vector<spread_action>& actions);
-    void request_from_peers(instant now, std::vector<spread_action>& actions);
-    void send_request(instant now, const node_id& peer, revision base, std::vector<spread_action>& actions);
-    void request_from_random_peer(instant now, std::vector<spread_action>& actions);
-    void back_off(instant now, const node_id& peer);
-    void poll_soon(instant now);
-    spread_peer* find_or_add_peer(const node_id& peer);
-    void on_message(instant now, const node_id& peer, const spread_request& message,
-                    std::vector<spread_action>& actions);
-    void on_message(instant now, const node_id& peer, const spread_no_update& message,
-                    std::vector<spread_action>& actions);
-    void on_message(instant now, const node_id& peer, const spread_page& message,
-                    std::vector<spread_action>& actions);
-    void finish_fetch(instant now, const delta_fetch& fetch, std::vector<spread_action>& actions);
-};
-
 /** Returns whether @p number is newer than the revision in force and not known to be unreadable. */
 bool spread::state::is_needed(revision number) const
 {
@@ -202,7 +130,7 @@
 {
     spread_peer& peer_state = m_peers[peer];
     peer_state.m_not_before = now + jitter(peer_state.m_backoff);
-    peer_state.m_backoff = std::min(peer_state.m_backoff * 2, max_backoff);
+    peer_state.m_backoff = std::min(peer_state.m_backoff * 2, spread_max_backoff);
 }
 
 /** Reads the head row soon, as a peer failed to deliver a revision or none is in force. */
@@ -303,7 +231,7 @@
     const std::string* const before = find_text(base);
     result<std::string> text = apply_delta(before == nullptr ? std::string_view{} : *before, delta);
     if (text.has_value() && digest_of(text.value()) == fetch.m_first_page->m_info.m_digest) {
-        m_peers[fetch.m_peer] = spread_peer{fetch.m_first_page->m_info.m_revision, now, base_backoff};
+        m_peers[fetch.m_peer] = spread_peer{fetch.m_first_page->m_info.m_revision, now, spread_base_backoff};
         apply_revision(now, fetch.m_first_page->m_info, std::move(text).value(), actions);
         request_from_peers(now, actions);
         return;
@@ -327,7 +255,7 @@
 spread& spread::operator=(spread&&) noexcept = default;
 
 void spread::on_head(instant now, const result<std::optional<revision_info>>& head,
-                     std::vector<spread_action>& actions)
+                     std::vector<spread_action>& actions, row_version version)
 {
     state& self = *m_state;
     if (head.has_error()) {
@@ -337,6 +265,7 @@
         self.request_from_random_peer(now, actions);
         return;
     }
+    self.restore_head(now, head.value() ? head.value()->m_revision : revision{}, version, actions);
     if (!head.value() || !self.is_needed(head.value()->m_revision)) {
         return;
     }
@@ -365,7 +294,7 @@
         self.apply_revision(now, info, *bytes.value(), actions);
         return;
     }
-    self.m_next_poll_at = std::min(self.m_next_poll_at, now + self.jitter(base_backoff * 2));
+    self.m_next_poll_at = std::min(self.m_next_poll_at, now + self.jitter(spread_base_backoff * 2));
     self.request_from_random_peer(now, actions);
 }
 
@@ -375,7 +304,7 @@
     spread_peer& peer_state = *m_state->find_or_add_peer(peer);
     if (peer_state.m_newest < newest) {
         peer_state.m_newest = newest;
-        peer_state.m_backoff = base_backoff;
+        peer_state.m_backoff = spread_base_backoff;
     }
     m_state->request_from_peers(now, actions);
 }
--- a/src/config/spread_base.h
+++ b/src/config/spread_base.h
@@ -20,6 +20,9 @@
      */
     duration m_fetch_timeout = std::chrono::milliseconds(500);
     std::size_t m_history = 32; ///< Number of revisions retained as bases for deltas.
+    /** Whether a node that watches the head row writes lost revisions again. Only where publications write
+     * that row. */
+    bool m_restores_head = false;
 };
 
 /** Action: read the head row and call spread::on_head. */
@@ -42,8 +45,18 @@
     std::shared_ptr<const config_set> m_set; ///< Its configuration.
 };
 
+/**
+ * Action: put the objects in order, then run the transaction, unless a put failed; call spread::on_restored
+ * in any case. Writes the revisions again that the platform lost when it restored its store from a copy.
+ */
+struct spread_restore {
+    std::vector<publish_put_object> m_puts; ///< The configurations of the lost revisions.
+    publish_commit m_commit;                ///< Writes their rows if the head row has not changed.
+};
+
 /** Action that the owner of a spread has to perform. */
-using spread_action = std::variant<spread_read_head, spread_get_object, spread_send, spread_in_force>;
+using spread_action =
+    std::variant<spread_read_head, spread_get_object, spread_send, spread_in_force, spread_restore>;
 
 /**
  * Keeps one node at the newest accepted revision, without I/O of its own. Revisions come from the platform's
@@ -57,9 +70,13 @@
     spread(spread&&) noexcept;
     spread& operator=(spread&&) noexcept;
 
-    /** Handles the head row, none if there is no revision, or the error of reading it. */
+    /** Handles the head row, none if there is no revision, or the error of reading it. @p version is the
+     * version of the row. */
     void on_head(instant now, const result<std::optional<revision_info>>& head,
-                 std::vector<spread_action>& actions);
+                 std::vector<spread_action>& actions, row_version version = {});
+
+    /** Handles the end of spread_restore, successful or not; the next read of the head row shows which. */
+    void on_restored(instant now);
 
     /** Handles the object @p name, none if it does not exist, or the error of getting it. */
     void on_object(instant now, const std::string& name, const result<std::optional<std::string>>& bytes,
--- a/src/events/event_type.h
+++ b/src/events/event_type.h
@@ -35,6 +35,7 @@
     platform_failing,
     platform_recovered,
     store_restored,
+    head_restored,
     request_suspected,
     request_quarantined,
     request_released,
--- a/src/events/table/events.h
+++ b/src/events/table/events.h
@@ -80,6 +80,9 @@
      "The platform's table and object store respond again."},
     {512, severity::warning, "store-restored", "era",
      "The platform has restored its store from an older copy: what was written since that copy is lost."},
+    {513, severity::warning, "head-restored", "revision",
+     "This node has written the published revisions again that the platform had lost; revision is the "
+     "newest."},
     {600, severity::warning, "request-suspected", "fingerprint",
      "A request is suspected because it was in progress when a target died."},
     {601, severity::error, "request-quarantined", "fingerprint",
--- a/src/node/control_task.cpp
+++ b/src/node/control_task.cpp
@@ -2,6 +2,7 @@
 #include "node/control_task_base.h"
 
 #include "events/events.h"
+#include "node/transaction_func.h"
 
 #include <algorithm>
 
@@ -25,6 +26,14 @@
     return record;
 }
 
+/** Returns the settings of the distribution of a configuration that is kept in @p platform_storage. */
+spread_settings to_spread_settings(const storage& platform_storage)
+{
+    spread_settings settings;
+    settings.m_restores_head = platform_storage.accepts_publications();
+    return settings;
+}
+
 } // namespace
 
 control_task::control_task(event_loop& loop, const node_settings& settings, storage& platform_storage,
@@ -32,7 +41,7 @@
     : m_loop(loop), m_settings(settings), m_on_output(std::move(on_output)),
       m_members(member_settings{}, to_member_record(settings, own_incarnation), seed),
       m_watch_election(settings.m_name, settings.m_data_centre, watch_settings{}),
-      m_spread(spread_settings{}, seed + 1), m_storage(platform_storage),
+      m_spread(to_spread_settings(platform_storage), seed + 1), m_storage(platform_storage),
       m_timer(loop, [this] { on_timer(); })
 {
 }
@@ -157,10 +166,38 @@
                                   {"digest", change.m_info.m_digest}});
                        m_on_output(revision_in_force(m_in_force));
                    },
+                   [&](spread_restore& request) {
+                       restore(std::make_shared<const spread_restore>(std::move(request)), 0);
+                   },
                },
                action);
 }
 
+/** Puts the objects of @p request from number @p next_put on, then runs its transaction. */
+void control_task::restore(const std::shared_ptr<const spread_restore>& request, std::size_t next_put)
+{
+    if (next_put < request->m_puts.size()) {
+        const publish_put_object& put = request->m_puts[next_put];
+        m_storage.put_object(put.m_name, put.m_bytes, [this, request, next_put](const result<bool>& outcome) {
+            outcome.has_error() ? end_restore() : restore(request, next_put + 1);
+        });
+        return;
+    }
+    m_storage.commit(to_transaction(request->m_commit), [this](const result<table_commit>& outcome) {
+        if (outcome.has_value() && outcome.value().m_applied) {
+            log_event(event::head_restored,
+                      {{"revision", std::to_string(m_in_force.m_info.m_revision.m_value)}});
+        }
+        end_restore();
+    });
+}
+
+void control_task::end_restore()
+{
+    m_spread.on_restored(event_loop::now());
+    process_actions();
+}
+
 void control_task::on_head(const result<std::optional<table_row>>& row)
 {
     on_platform_result(row.has_value(), row.has_error() ? row.error().m_text : "");
@@ -181,7 +218,8 @@
         m_spread.on_head(now, info.error(), m_spread_actions);
     }
     else {
-        m_spread.on_head(now, std::optional<revision_info>(info.value()), m_spread_actions);
+        m_spread.on_head(now, std::optional<revision_info>(info.value()), m_spread_actions,
+                         row.value()->m_version);
     }
     process_actions();
 }
--- a/src/node/control_task_base.h
+++ b/src/node/control_task_base.h
@@ -62,6 +62,8 @@
     void discover(const std::string& prefix, const std::string& after,
                   std::vector<std::pair<std::string, std::string>> found);
     void on_head(const result<std::optional<table_row>>& row);
+    void restore(const std::shared_ptr<const spread_restore>& request, std::size_t next_put);
+    void end_restore();
     void log_unreadable_revision();
     void on_timer();
     void update_watch();
--- a/src/node/publication_task.cpp
+++ b/src/node/publication_task.cpp
@@ -2,6 +2,7 @@
 #include "node/publication_task_base.h"
 
 #include "node/task_message_type.h"
+#include "node/transaction_func.h"
 
 namespace waxwing {
 
@@ -96,14 +97,7 @@
 
 void publication_task::commit(std::uint64_t number, const publish_commit& request)
 {
-    table_transaction transaction;
-    for (const auto& [key, version] : request.m_checks) {
-        transaction.m_checks.push_back({key, version});
-    }
-    for (const auto& [key, value] : request.m_writes) {
-        transaction.m_writes.push_back({key, value});
-    }
-    m_storage.commit(std::move(transaction), [this, number](const result<table_commit>& outcome) {
+    m_storage.commit(to_transaction(request), [this, number](const result<table_commit>& outcome) {
         result<commit_state> state = commit_state{};
         if (outcome.has_error()) {
             state = outcome.error();
--- a/src/storage/storage.h
+++ b/src/storage/storage.h
@@ -63,6 +63,9 @@
     storage(const storage&) = delete;
     storage& operator=(const storage&) = delete;
 
+    /** Returns whether the head row holds what publications write there. If not, nothing may write it. */
+    virtual bool accepts_publications() const = 0;
+
     /** Reads the row @p key; none if it does not exist. */
     virtual void read(const std::string& key, handler<std::optional<table_row>> on_done) = 0;
 
--- a/test/platform_restore_test.cpp
+++ b/test/platform_restore_test.cpp
@@ -208,3 +208,11 @@
     fixture.m_store->list("member/", "", 1, [](const auto&) {});
     cr_assert(fixture.runs_until(11));
 }
+
+/** The head row is the operator's. */
+Test(platform_restore, a_store_with_the_operators_configuration_accepts_no_publications)
+{
+    store_fixture fixture;
+    cr_expect(!fixture.m_store->accepts_publications());
+    cr_expect(make_store_client(fixture.m_loop, store_settings{}, 1)->accepts_publications());
+}
