Fix: a publication did not put its object again after the store was restored

What callers would see: a published revision whose object is missing, which nodes can get only from peers, and none if no node has it. Found by reading.

Cause: the publisher remembered over its rounds that it had put the object; a restoration between two rounds loses it while the head stays.

Ruled out: an object lost together with its head row; spread_restore puts that one.

Change: the object is put in each round. It costs a put for each retry.

Conclusion: fixed, but for a loss between put and commit of the same round without any failure.

--- a/src/config/publication_base.cpp
+++ b/src/config/publication_base.cpp
@@ -240,7 +240,6 @@
     if (response.has_error()) {
         return self.retry(now, "the object store could not be written: " + response.error().m_text);
     }
-    self.m_put_digest = self.m_next.m_digest;
     return self.read_expired();
 }
 
--- a/src/config/publisher_merge.cpp
+++ b/src/config/publisher_merge.cpp
@@ -99,7 +99,7 @@
          "the configuration has been changed by others since revision " + std::to_string(m_base.m_value)});
 }
 
-/** Builds the next revision and puts its object. */
+/** Builds the next revision and puts its object, each time: the platform may have lost it since a failure. */
 publish_action publisher::state::prepare(const config_set& head, const config_set& merged)
 {
     std::string text = write_config(merged);
@@ -113,9 +113,6 @@
     }
     m_next = revision_info{revision{m_head.m_revision.m_value + 1}, digest, m_change.m_note,
                            summarise(diff_configs(head, merged))};
-    if (m_put_digest == digest) {
-        return read_expired();
-    }
     m_step = publish_step::put;
     return publish_put_object{object_name(digest), std::move(text)};
 }
--- a/src/config/publisher_state_base.h
+++ b/src/config/publisher_state_base.h
@@ -43,7 +43,6 @@
     std::string m_awaited_digest;                 ///< Digest of the object being fetched.
 
     revision_info m_next;                   ///< The revision to commit.
-    std::string m_put_digest;               ///< Digest of the object that was put last.
     std::optional<revision_info> m_expired; ///< The revision whose rows the commit deletes.
     std::optional<row_version>
         m_uncertain_version;              ///< Head version that a commit with unknown outcome requires.
--- a/test/config_restore_test.cpp
+++ b/test/config_restore_test.cpp
@@ -239,3 +239,20 @@
     fixture.read_head();
     cr_expect(fixture.m_restores == 0 && fixture.head() == 7);
 }
+
+/** The copy is from before the put of the first attempt, and the head row is the same. */
+Test(config_restore, a_publication_puts_its_object_again_after_a_failure)
+{
+    restore_fixture fixture;
+    fixture.publish_up_to(1);
+    const fake_platform copy = fixture.m_platform;
+    writer test_writer = start(change(1, "[caller a]\nrate = 2\n", "id2"));
+    while (!std::holds_alternative<publish_commit>(test_writer.m_action)) {
+        test_writer.m_action = step(fixture.m_platform, test_writer, {}, fault::none);
+    }
+    restore_from(fixture.m_platform, copy);
+    test_writer.m_action = step(fixture.m_platform, test_writer, {}, fault::unavailable);
+    const publish_end end = finish(fixture.m_platform, test_writer);
+    cr_assert(end.m_result == publish_result::published);
+    cr_expect(fixture.m_platform.m_objects.count(object_name(end.m_info.m_digest)) == 1);
+}
