Fix: a publication was built on the older head of a restored store

What callers would see: a publication after a restoration is refused (`the base revision does not exist`) or gets a number that nodes have in force for another configuration and so ignore. Found by reading.

Cause: of the same class: the publisher took the head as read for the newest revision.

Ruled out: checking the base only; a rollback or an older base passes that.

Change: a publication carries the newest revision known to its node; while the head is below, it retries within its deadline.

Result: config_restore_test: two tests failed before (refused; published on head 7), now 10 of 10; config_publish_test 13 of 13. No run of real processes; operators_config is compiled, not exercised.

--- a/src/config/publication_base.cpp
+++ b/src/config/publication_base.cpp
@@ -120,7 +120,7 @@
     return publish_read_row{std::move(key)};
 }
 
-publish_action publisher::state::on_head_row(const std::optional<row_state>& row)
+publish_action publisher::state::on_head_row(instant now, const std::optional<row_state>& row)
 {
     m_head = revision_info{};
     m_head_version = {};
@@ -132,6 +132,9 @@
         m_head = head.value();
         m_head_version = row->m_version;
     }
+    if (m_head.m_revision < m_change.m_known) {
+        return retry(now, "the platform has lost the newest revisions, and they are not written again yet");
+    }
     std::erase_if(m_objects, [&](const auto& object) {
         return object.first != m_head.m_digest && object.first != m_base_digest &&
                object.first != m_target_digest;
@@ -202,7 +205,7 @@
         return self.retry(now, "the table could not be read: " + row.error().m_text);
     }
     if (self.m_step == publish_step::head) {
-        return self.on_head_row(row.value());
+        return self.on_head_row(now, row.value());
     }
     if (self.m_step == publish_step::change) {
         return self.on_change_row(row.value());
--- a/src/config/publication_base.h
+++ b/src/config/publication_base.h
@@ -71,6 +71,7 @@
     std::variant<publish_text, publish_rollback> m_content; ///< What to publish.
     change_note m_note;                                     ///< Origin of the change.
     bool m_resumed = false; ///< Whether an earlier attempt with the same change id may have taken effect.
+    revision m_known{};     ///< Newest revision known to the node; a head below it is not built on.
 };
 
 /** A row of the table. */
--- a/src/config/publisher_state_base.h
+++ b/src/config/publisher_state_base.h
@@ -57,7 +57,7 @@
     publish_action refuse(publish_result outcome, std::string detail);
     publish_action write_fence();
     publish_action read(publish_step step, std::string key);
-    publish_action on_head_row(const std::optional<row_state>& row);
+    publish_action on_head_row(instant now, const std::optional<row_state>& row);
     publish_action on_change_row(const std::optional<row_state>& row);
     publish_action on_revision_row(const std::optional<row_state>& row, std::string& digest);
     publish_action fetch_inputs();
--- a/src/node/operators_config.cpp
+++ b/src/node/operators_config.cpp
@@ -136,6 +136,7 @@
 void operators_task::publish(exchange_id exchange, publication request)
 {
     const std::string change_id = request.m_note.m_change_id;
+    request.m_known = m_tasks.m_control.in_force().m_info.m_revision;
     const bool has_started =
         m_publications.publish(std::move(request), [this, exchange, change_id](const publish_end& end) {
             on_published(exchange, change_id, end);
--- a/test/config_restore_test.cpp
+++ b/test/config_restore_test.cpp
@@ -240,6 +240,47 @@
     cr_expect(fixture.m_restores == 0 && fixture.head() == 7);
 }
 
+/** A publication on the head of the copy would give a lost number to another configuration. */
+Test(config_restore, a_publication_waits_until_the_head_is_restored)
+{
+    for (const bool is_rollback : {false, true}) {
+        restore_fixture fixture;
+        fixture.publish_up_to(7);
+        const fake_platform copy = fixture.m_platform;
+        fixture.publish_up_to(9);
+        restore_from(fixture.m_platform, copy);
+        publication request = change(9, "[caller a]\nrate = 10\n", "id10");
+        if (is_rollback) {
+            request.m_content = publish_rollback{revision{6}};
+        }
+        request.m_known = fixture.m_spread.in_force();
+        writer waiting_writer = start(request);
+        while (!std::holds_alternative<publish_wait>(waiting_writer.m_action) &&
+               !std::holds_alternative<publish_end>(waiting_writer.m_action)) {
+            waiting_writer.m_action = step(fixture.m_platform, waiting_writer, {}, fault::none);
+        }
+        cr_assert(fixture.head() == 7);
+        fixture.read_head();
+        const publish_end end = finish(fixture.m_platform, waiting_writer);
+        cr_assert(end.m_result == publish_result::published, "%s", end.m_detail.c_str());
+        cr_expect(end.m_info.m_revision.m_value == 10 && fixture.head() == 10);
+    }
+}
+
+/** No node restores the head before the deadline. */
+Test(config_restore, a_publication_ends_as_not_published_where_the_head_is_not_restored)
+{
+    restore_fixture fixture;
+    fixture.publish_up_to(7);
+    const fake_platform copy = fixture.m_platform;
+    fixture.publish_up_to(9);
+    restore_from(fixture.m_platform, copy);
+    publication request = change(7, "[caller a]\nrate = 10\n", "id10");
+    request.m_known = fixture.m_spread.in_force();
+    cr_expect(publish(fixture.m_platform, request).m_result == publish_result::not_published);
+    cr_expect(fixture.head() == 7);
+}
+
 /** The copy is from before the put of the first attempt, and the head row is the same. */
 Test(config_restore, a_publication_puts_its_object_again_after_a_failure)
 {
