--- a/src/config/publisher_state_base.h
+++ b/src/config/publisher_state_base.h
@@ -43,7 +43,6 @@
     std::string m_awaited_digest;                 ///< Digest of the object being fetched.
 
     revision_info m_next;                   ///< The revision to commit.
-    std::string m_put_digest;               ///< Digest of the object that was put last.
     std::optional<revision_info> m_expired; ///< The revision whose rows the commit deletes.
     std::optional<row_version>
         m_uncertain_version;              ///< Head version that a commit with unknown outcome requires.
@@ -58,7 +57,7 @@
     publish_action refuse(publish_result outcome, std::string detail);
     publish_action write_fence();
     publish_action read(publish_step step, std::string key);
-    publish_action on_head_row(const std::optional<row_state>& row);
+    publish_action on_head_row(instant now, const std::optional<row_state>& row);
     publish_action on_change_row(const std::optional<row_state>& row);
     publish_action on_revision_row(const std::optional<row_state>& row, std::string& digest);
     publish_action fetch_inputs();
--- a/test/platform_restore_test.cpp
+++ b/test/platform_restore_test.cpp
@@ -264,3 +264,11 @@
     cr_assert(commit(fixture, {{}, {{"t/a", "value"}}}).error().m_code == error_code::unknown);
     cr_assert(commit(fixture, {{}, {{"t/a", "value"}}}).value().m_applied);
 }
+
+/** The head row is the operator's. */
+Test(platform_restore, a_store_with_the_operators_configuration_accepts_no_publications)
+{
+    store_fixture fixture;
+    cr_expect(!fixture.m_store->accepts_publications());
+    cr_expect(make_store_client(fixture.m_loop, store_settings{}, 1)->accepts_publications());
+}
