Add: log events for suspected requests and for requests that the HTTP server refuses

What operators saw: a request that is refused as quarantined, with no line that says when and where it was suspected; and replies 400, 408 and 431 of the HTTP server that no log and no metric shows.

Cause: W600 to W602 were in the catalogue of events, but nothing wrote them. The server's own refusals never became events of the node.

Change: the runner gives the changes that it made with each broadcast of records, and the node logs them: W600, W601, W602, once each, by the node that makes the change. No decision changes.

Not run: the whole node (process_test).

--- a/src/call/call_action_type.h
+++ b/src/call/call_action_type.h
@@ -3,8 +3,11 @@
 #define WAXWING_CALL_CALL_ACTION_TYPE_H
 
 #include "base/base.h"
+#include "policy/policy.h"
 
+#include <string>
 #include <variant>
+#include <vector>
 
 namespace waxwing {
 
@@ -75,9 +78,16 @@
 /** Probes whether the target still accepts connections; the result goes to runner::on_probe. */
 struct runner_probe {};
 
+/** Change of a quarantine record, for the log. */
+struct suspicion_change {
+    std::string m_fingerprint;               ///< Salted name of the request.
+    suspicion m_suspicion = suspicion::none; ///< Its new state.
+};
+
 /** Broadcasts quarantine records of requests that crash targets to all nodes. */
 struct runner_spread {
-    std::string m_payload; ///< Payload of the control message.
+    std::string m_payload;                   ///< Payload of the control message.
+    std::vector<suspicion_change> m_changes; ///< The changes that this node made.
 };
 
 /** Reports that the target crashed while requests were in progress. */
--- a/src/call/runner_end.cpp
+++ b/src/call/runner_end.cpp
@@ -232,9 +232,14 @@
 void runner::broadcast(const std::vector<quarantine_record>& records,
                        std::vector<runner_action>& actions) const
 {
-    if (!records.empty()) {
-        actions.emplace_back(runner_spread{encode_quarantine(records)});
+    if (records.empty()) {
+        return;
+    }
+    runner_spread update{encode_quarantine(records), {}};
+    for (const quarantine_record& record : records) {
+        update.m_changes.push_back({m_quarantine.name_of(record.m_fingerprint), record.m_suspicion});
     }
+    actions.emplace_back(std::move(update));
 }
 
 std::vector<std::pair<std::string, suspicion>> runner::suspects(instant now) const
--- a/src/events/event_type.h
+++ b/src/events/event_type.h
@@ -40,6 +40,7 @@
     request_released,
     request_answered,
     run_ended,
+    request_unreadable,
     overload_started,
     overload_ended,
     operator_change,
--- a/src/events/table/events.h
+++ b/src/events/table/events.h
@@ -95,6 +95,9 @@
      "request kind rule outcome status waited_ms took_ms priority running queued limit threshold suppressed",
      "The node beside the target ended a call: it ran, or the named rule refused it. running, queued, limit "
      "and threshold are those of the target at that moment."},
+    {612, severity::warning, "request-unreadable", "status peer suppressed",
+     "The HTTP server refused a request that it could not read: malformed (400), not received in time (408) "
+     "or too long (431). suppressed is the number of such refusals not logged."},
     {700, severity::warning, "overload-started", "service threshold",
      "The target's node started to shed requests."},
     {701, severity::info, "overload-ended", "service lasted_ms",
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -19,7 +19,7 @@
 class beast_server final : public http_server {
 public:
     beast_server(event_loop& loop, const http_server_settings& settings, handler on_event)
-        : m_context{loop, settings, false, 0, {}, {}, {}, {}, {}}, m_events(loop, std::move(on_event)),
+        : m_context{loop, settings, false, 0, {}, {}, {}, {}, {}, {}}, m_events(loop, std::move(on_event)),
           m_accept_watcher(loop, [this](int) { accept_connections(); }),
           m_accept_timer(loop, [this] { resume_accepting(); }), m_connections(loop)
     {
@@ -35,6 +35,11 @@
                 m_events.post(http_client_disconnected{id});
             }
         };
+        m_context.m_on_refused = [this](http_refusal&& refused) {
+            if (m_on_refused) {
+                m_on_refused(refused);
+            }
+        };
         m_context.m_on_idle = [this](server_connection& connection, bool idle) {
             set_idle(connection, idle);
         };
@@ -68,6 +73,8 @@
         m_context.m_settings.m_address = address;
     }
 
+    void report_refusals(refusal_handler on_refused) override { m_on_refused = std::move(on_refused); }
+
     void drain() override
     {
         // Idle connections stay open, since a request may already be on its way from the client.
@@ -155,6 +162,7 @@
 
     server_context m_context;
     mailbox<http_server_event> m_events;
+    refusal_handler m_on_refused; ///< Empty if refusals are not reported.
     descriptor m_listener;
     io_watcher m_accept_watcher;
     timer m_accept_timer;    ///< Resumes accepting where no connection is open whose end would do so.
--- a/src/http/http_server_base.h
+++ b/src/http/http_server_base.h
@@ -45,6 +45,12 @@
     exchange_id m_exchange;
 };
 
+/** The server has refused a request that it could not read: malformed, too long or too late. */
+struct http_refusal {
+    std::uint16_t m_status = 0; ///< Status of the reply: 400, 408 or 431.
+    std::string m_peer;         ///< IP address of the client.
+};
+
 /** An event of a server. */
 using http_server_event = std::variant<http_request, http_client_disconnected>;
 
@@ -67,6 +73,7 @@
 class http_server {
 public:
     using handler = std::function<void(http_server_event&&)>;
+    using refusal_handler = std::function<void(const http_refusal&)>;
 
     /**
      * Starts to listen.
@@ -88,6 +95,11 @@
     /** Applies new limits and time-outs; the address in @p settings is ignored. */
     virtual void configure(const http_server_settings& settings) = 0;
 
+    /** Reports each request that the server refuses by itself to @p on_refused, which must not call the
+     * server.
+     */
+    virtual void report_refusals(refusal_handler on_refused) = 0;
+
     /** Closes each connection after its next reply, unless part of a further request has arrived by then. */
     virtual void drain() = 0;
 
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -195,6 +195,7 @@
     m_last_received = true;
     const exchange_id id = m_context.m_begin_exchange(*this);
     m_pending.push_back({id, false, true, std::nullopt});
+    m_context.m_on_refused({static_cast<std::uint16_t>(status), m_peer});
     reply({id, static_cast<std::uint16_t>(status), {{"Cache-Control", "no-store"}}, ""});
 }
 
--- a/src/http/server_connection_base.h
+++ b/src/http/server_connection_base.h
@@ -28,6 +28,8 @@
     std::function<void(http_request&&)> m_on_request;
     /** The exchange has ended; @p disconnected tells that the client disconnected before the reply. */
     std::function<void(exchange_id, bool disconnected)> m_on_end;
+    /** The server has refused a request by itself. */
+    std::function<void(http_refusal&&)> m_on_refused;
     /** The connection has become idle or busy. */
     std::function<void(server_connection&, bool idle)> m_on_idle;
     /** The connection has ended and must be destroyed, but not from within this call. */
--- a/src/node/call_task.cpp
+++ b/src/node/call_task.cpp
@@ -65,6 +65,7 @@
         return server.error();
     }
     m_server = std::move(server).value();
+    m_server->report_refusals([this](const http_refusal& refused) { on_refused(refused); });
     return success();
 }
 
@@ -330,6 +331,19 @@
                                  {"suppressed", std::to_string(decision.m_suppressed)}});
 }
 
+/** Counts and logs a request that the HTTP server refused by itself. */
+void call_task::on_refused(const http_refusal& refused)
+{
+    const std::string status = std::to_string(refused.m_status);
+    m_metrics.count("waxwing_unreadable_requests_total", {{"status", status}});
+    const sample_decision decision = m_refusal_log.on_failure(event_loop::now(), refused.m_peer);
+    if (decision.m_logged) {
+        log_event(event::request_unreadable, {{"status", status},
+                                              {"peer", refused.m_peer},
+                                              {"suppressed", std::to_string(decision.m_suppressed)}});
+    }
+}
+
 void call_task::reply(entry_reply&& response)
 {
     log_reply(response);
--- a/src/node/call_task_base.h
+++ b/src/node/call_task_base.h
@@ -75,6 +75,7 @@
     void reply(entry_reply&& response);
     void log_reply(const entry_reply& response);
     void log_run(const runner_answer& run);
+    void on_refused(const http_refusal& refused);
     void on_timer();
 
     event_loop& m_loop;
@@ -92,7 +93,9 @@
     std::unique_ptr<http_server> m_server;
     request_sampler m_entry_log{sampler_settings{}};
     request_sampler m_run_log{sampler_settings{}};
-    revision m_revision;                   ///< Revision in force, for log events.
+    request_sampler m_refusal_log{
+        sampler_settings{.m_requests_per_sample = 0}}; ///< Unreadable requests have no id to sample by.
+    revision m_revision;                               ///< Revision in force, for log events.
     std::optional<caller_limits> m_limits; ///< From the configuration; empty until one is in force.
 };
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -39,6 +39,21 @@
     return std::move(read).value();
 }
 
+/** Logs the changes of quarantine records that this node made. */
+void log_suspicions(const std::vector<suspicion_change>& changes)
+{
+    for (const suspicion_change& change : changes) {
+        event logged = event::request_released;
+        if (change.m_suspicion == suspicion::suspect) {
+            logged = event::request_suspected;
+        }
+        if (change.m_suspicion == suspicion::quarantined) {
+            logged = event::request_quarantined;
+        }
+        log_event(logged, {{"fingerprint", change.m_fingerprint}});
+    }
+}
+
 /** Returns whether peers may send work to the target beside the node of @p record. */
 bool accepts_work(const member_record& record)
 {
@@ -107,7 +122,10 @@
                    [&](runner_run& request) { m_target.run(std::move(request)); },
                    [&](runner_abort& request) { m_target.abort(request.m_attempt); },
                    [&](runner_probe&) { m_target.probe(); },
-                   [&](runner_spread& update) { broadcast_quarantine(update.m_payload); },
+                   [&](runner_spread& update) {
+                       log_suspicions(update.m_changes);
+                       broadcast_quarantine(update.m_payload);
+                   },
                    [&](runner_crash& crash) {
                        log_event(event::target_crashed, {{"running", std::to_string(crash.m_running)}});
                        m_metrics.count("waxwing_target_crashes_total", {});
--- a/test/http_wire_test.cpp
+++ b/test/http_wire_test.cpp
@@ -377,6 +377,34 @@
     cr_assert(max_held <= std::size_t{96} << 20U, "%zu bytes", max_held);
 }
 
+/** Refusals by the server itself reach the log and the metrics through this report. */
+Test(wire, a_request_that_the_server_refuses_by_itself_is_reported)
+{
+    const auto status_of = [](const std::string& request, duration request_timeout) {
+        guarded_loop guarded;
+        http_server_settings settings;
+        settings.m_address = {"127.0.0.1", 0};
+        settings.m_request_timeout = request_timeout;
+        auto server = std::move(http_server::open(guarded.m_loop, settings, [](http_server_event&&) {
+                                    cr_assert(false, "the refused request was delivered");
+                                }).value());
+        std::vector<http_refusal> refusals;
+        server->report_refusals([&](const http_refusal& refused) { refusals.push_back(refused); });
+        const descriptor client = std::move(start_connect(server->address(), socket_use::http)).value();
+        io_watcher writer(guarded.m_loop, [&](int) {
+            cr_assert(send(client.get(), request.data(), request.size(), MSG_NOSIGNAL) > 0);
+            writer.stop();
+        });
+        writer.watch(client.get(), EV_WRITE);
+        read_until(client, "\r\n\r\n", guarded.m_loop);
+        cr_assert(refusals.size() == 1 && refusals.front().m_peer == "127.0.0.1");
+        return refusals.front().m_status;
+    };
+    cr_assert(status_of("no request\r\n\r\n", test_timeout) == 400);
+    cr_assert(status_of("GET / HTTP/1.1\r\nX: " + std::string(70000, 'x'), test_timeout) == 431);
+    cr_assert(status_of("GET / HTTP/1.1\r\n", std::chrono::milliseconds(20)) == 408);
+}
+
 /** A client sends a chunk extension without end. */
 Test(wire, a_request_without_end_is_refused)
 {
--- a/test/runner_test.cpp
+++ b/test/runner_test.cpp
@@ -85,3 +85,19 @@
         cr_assert(std::get<runner_answer>(action).m_took == waited);
     }
 }
+
+/** Each change of a record is reported once, by the node that makes it. */
+Test(runner, changes_of_suspicions_are_reported_for_the_log)
+{
+    runner_fixture fixture;
+    fixture.m_runner.on_probe(start_time, false, fixture.m_actions);
+    const auto& crash = std::get<runner_spread>(fixture.m_actions.front());
+    cr_assert(crash.m_changes.size() == 1 && crash.m_changes.front().m_suspicion == suspicion::suspect);
+    const std::string name = crash.m_changes.front().m_fingerprint;
+    cr_assert(fixture.m_runner.suspects(start_time).front().first == name);
+    fixture.m_actions.clear();
+    cr_assert(fixture.m_runner.release(start_time, name, fixture.m_actions));
+    const auto& release = std::get<runner_spread>(fixture.m_actions.front());
+    cr_assert(release.m_changes.size() == 1 && release.m_changes.front().m_fingerprint == name);
+    cr_assert(release.m_changes.front().m_suspicion == suspicion::none);
+}
