Fix: a caller that waits got 499 when its target's node had lost the link

What callers see: a proper request ends with 499 of a node's own (DENIED).

Cause: a runner that loses its last link to a node cancels that node's calls. The entry may still hold a link: when the runner gives up a link that the entry opened and opens one itself, the entry keeps both for a while and reports no loss, so its calls stay open. The end of an aborted run then arrives over the new link as rule cancelled, which is final, and the entry passed its 499 on to a caller that waits.

Ruled out: the other paths to cancelled are for callers that have left, and reply to nobody.

Change: the entry takes a cancelled attempt whose caller waits as a lost link: target-unreachable if it did not run, so that it is sent again, else link-lost, which is sent again only if idempotent.

Result: a_caller_that_waits_is_not_answered_as_one_that_left failed before (the request ended with the first attempt) and passes; entry_test 14 of 15 before, 15 of 15 after.

Conclusion: an internal outcome for callers that have left can't reach one that waits. Whether it is what was reported is not known.

--- a/src/call/entry_attempt.cpp
+++ b/src/call/entry_attempt.cpp
@@ -45,6 +45,15 @@
     return failed ? route_result::failed : route_result::refused;
 }
 
+/** Returns what the cancelled attempt with @p response means to a caller that still waits: the target's node had
+ * lost its link to this one. */
+answer lost_attempt(const answer& response)
+{
+    answer lost = response;
+    lost.m_rule = response.m_state == run_state::not_run ? rule::target_unreachable : rule::link_lost;
+    return lost;
+}
+
 } // namespace
 
 /** Sends the next attempt of @p current, or ends the call if no target is left. */
@@ -117,6 +126,10 @@
     }
     const call_number number = position->second;
     const open_call& current = m_calls.at(number);
+    if (response.m_rule == rule::cancelled && !current.m_waiters.empty()) {
+        on_answer(now, attempt, lost_attempt(response), actions);
+        return;
+    }
     if (response.m_rule == rule::none || response.m_rule == rule::shed ||
         response.m_rule == rule::queue_timeout) {
         m_thresholds.learn(now, current.m_kind->m_name, response.m_load.m_threshold);
--- a/test/entry_test.cpp
+++ b/test/entry_test.cpp
@@ -230,6 +230,22 @@
               "orders run at most once");
 }
 
+/** A target's node cancels the calls of a lost link; its answers arrive over a link that the entry kept. */
+Test(entry, a_caller_that_waits_is_not_answered_as_one_that_left)
+{
+    entry_fixture fixture;
+    entry_action waiting = fixture.send_request("/order/x", {});
+    fixture.fail_once(waiting, rule::cancelled, run_state::not_run);
+    cr_assert(std::holds_alternative<entry_send>(waiting));
+    entry_action order = fixture.send_request("/order/x", {});
+    fixture.fail_once(order, rule::cancelled, run_state::unknown);
+    cr_assert(std::get<entry_reply>(order).m_answer.m_rule == rule::link_lost);
+    cr_assert(std::get<entry_reply>(order).m_answer.m_state == run_state::unknown);
+    entry_action lookup = fixture.send_request("/plain/x", {});
+    cr_assert(fixture.fail_all(lookup, rule::cancelled, run_state::unknown).size() == 2);
+    cr_assert(std::get<entry_reply>(lookup).m_answer.m_rule == rule::link_lost);
+}
+
 /** Targets that refuse some of their calls at random may accept the next one, so they are retried. */
 Test(entry, targets_that_refuse_are_retried_in_turn_up_to_a_limit)
 {
