--- a/src/call/runner_end.cpp
+++ b/src/call/runner_end.cpp
@@ -2,6 +2,7 @@
 #include "call/runner_base.h"
 
 #include <algorithm>
+#include <set>
 
 namespace waxwing {
 
@@ -165,19 +166,18 @@
  */
 void runner::on_target_crash(instant now, std::vector<runner_action>& actions)
 {
-    std::vector<std::uint64_t> fingerprints;
-    bool ran_exclusively = false;
+    std::set<std::uint64_t> exclusive;
+    std::set<std::uint64_t> others;
     for (auto& [attempt, current] : m_calls) {
         if (current.m_stage == stage::interrupted || current.m_stage == stage::running) {
-            fingerprints.push_back(current.m_call.m_fingerprint);
-            ran_exclusively |= current.m_exclusive;
+            (current.m_exclusive ? exclusive : others).insert(current.m_call.m_fingerprint);
             current.m_stage = stage::interrupted;
         }
     }
-    std::sort(fingerprints.begin(), fingerprints.end());
-    fingerprints.erase(std::unique(fingerprints.begin(), fingerprints.end()), fingerprints.end());
-    broadcast(m_quarantine.on_crash(now, fingerprints, ran_exclusively && fingerprints.size() == 1), actions);
-    actions.emplace_back(runner_crash{fingerprints.size()});
+    std::erase_if(others, [&](std::uint64_t fingerprint) { return exclusive.contains(fingerprint); });
+    broadcast(m_quarantine.on_crash(now, {exclusive.begin(), exclusive.end()}, true), actions);
+    broadcast(m_quarantine.on_crash(now, {others.begin(), others.end()}, false), actions);
+    actions.emplace_back(runner_crash{exclusive.size() + others.size()});
     m_crash_answers_at = now + crash_answer_delay;
     close(now, rule::target_unreachable, actions);
 }
--- a/src/policy/quarantine.cpp
+++ b/src/policy/quarantine.cpp
@@ -201,7 +201,7 @@
 }
 
 std::vector<quarantine_record> quarantine::on_crash(instant now, const std::vector<std::uint64_t>& running,
-                                                    bool /*exclusive*/)
+                                                    bool exclusive)
 {
     m_state->expire(now);
     std::vector<quarantine_record> changed;
@@ -212,8 +212,8 @@
         if (current.m_suspicion == suspicion::quarantined) {
             continue;
         }
-        const suspicion next =
-            current.m_suspicion == suspicion::suspect ? suspicion::quarantined : suspicion::suspect;
+        const bool proven = exclusive && current.m_suspicion == suspicion::suspect;
+        const suspicion next = proven ? suspicion::quarantined : suspicion::suspect;
         changed.push_back(m_state->change(now, fingerprint, next, releases_of(current.m_version)));
     }
     return changed;
--- a/src/policy/quarantine_base.h
+++ b/src/policy/quarantine_base.h
@@ -23,7 +23,7 @@
 enum class suspicion {
     none,       ///< Not suspect.
     suspect,    ///< Was in progress when one target crashed; runs alone, once.
-    quarantined ///< Was in progress when a second target crashed; is not run.
+    quarantined ///< Ran exclusively, as a suspect, when another target crashed; is not run.
 };
 
 /**
@@ -49,9 +49,9 @@
     suspicion look_up(instant now, std::uint64_t fingerprint) const;
 
     /**
-     * Records that a target crashed while @p running were in progress there. Unknown fingerprints become
-     * suspects; suspects become quarantined, whether or not they ran @p exclusive, since a second target is
-     * lost with them.
+     * Records that a target crashed while @p running were in progress there. All become suspects, except that
+     * suspects become quarantined if they ran @p exclusive: a run beside others, which may have started
+     * before the suspicion was known, does not tell which of them crashed the target.
      * @return the changed records, to be sent to peers.
      */
     std::vector<quarantine_record> on_crash(instant now, const std::vector<std::uint64_t>& running,
--- a/test/quarantine_test.cpp
+++ b/test/quarantine_test.cpp
@@ -62,6 +62,22 @@
     cr_assert(table.look_up(start, 5) == suspicion::suspect);
 }
 
+/** Servers go down together; each runs the lookup since before the first crash was known. */
+Test(quarantine, a_lookup_that_ran_beside_others_at_two_crashes_is_not_refused)
+{
+    quarantine table({}, salt);
+    table.on_crash(start, {1, 2}, false);
+    table.on_crash(start + 5ms, {1, 3}, false);
+    table.on_crash(start + 10ms, {1, 2, 3}, false);
+    for (const std::uint64_t fingerprint : {1, 2, 3}) {
+        cr_assert(table.look_up(start + 10ms, fingerprint) == suspicion::suspect);
+    }
+    cr_assert(table.on_crash(start + 20ms, {1}, true).size() == 1);
+    cr_assert(table.look_up(start + 20ms, 1) == suspicion::quarantined);
+    cr_assert(table.on_completed(start + 20ms, 2).size() == 1);
+    cr_assert(table.look_up(start + 20ms, 2) == suspicion::none);
+}
+
 Test(quarantine, merge_is_commutative_associative_and_idempotent)
 {
     cr_assert(rc::check("any order and any repetition gives the same table", [] {
--- a/test/runner_test.cpp
+++ b/test/runner_test.cpp
@@ -86,6 +86,55 @@
     }
 }
 
+/** Two targets go down at once while both run the same lookup; a third one is sent it afterwards. */
+Test(runner, a_lookup_that_ran_at_two_targets_that_died_is_run_by_a_third)
+{
+    const auto records_of = [](const std::vector<runner_action>& actions) {
+        std::vector<quarantine_record> records;
+        for (const runner_action& action : actions) {
+            if (const auto* const spread = std::get_if<runner_spread>(&action)) {
+                const auto decoded = decode_quarantine(spread->m_payload);
+                records.insert(records.end(), decoded.value().begin(), decoded.value().end());
+            }
+        }
+        return records;
+    };
+    const auto crash = [&](runner_fixture& target) {
+        target.m_actions.clear();
+        target.m_runner.on_probe(start_time, false, target.m_actions);
+        return records_of(target.m_actions);
+    };
+    const auto send_to = [](runner_fixture& target) {
+        call lookup;
+        lookup.m_service = service_name{"front"};
+        lookup.m_idempotent = true;
+        lookup.m_context.m_time_left = std::chrono::seconds(5);
+        target.m_actions.clear();
+        target.m_runner.on_call(start_time, node_id{"o"}, attempt_id{2}, std::move(lookup), target.m_actions);
+    };
+    runner_fixture first;
+    runner_fixture second;
+    runner_fixture third;
+    runner_fixture fourth;
+    const std::vector<quarantine_record> suspected = crash(first);
+    for (runner_fixture* const peer : {&second, &third, &fourth}) {
+        peer->m_runner.on_quarantine(start_time, suspected);
+    }
+    const std::vector<quarantine_record> suspected_again = crash(second);
+    third.m_runner.on_quarantine(start_time, suspected_again);
+    fourth.m_runner.on_quarantine(start_time, suspected_again);
+    third.m_runner.cancel(start_time, attempt_id{1}, third.m_actions);
+    third.m_runner.on_target_failure(start_time, attempt_id{1}, target_failure::aborted, third.m_actions);
+    send_to(third);
+    cr_assert(std::holds_alternative<runner_run>(third.m_actions.back()));
+    // A third target dies with it, which ran nothing else: the request is refused from now on.
+    const std::vector<quarantine_record> quarantined = crash(third);
+    cr_assert(quarantined.size() == 1 && quarantined.front().m_suspicion == suspicion::quarantined);
+    fourth.m_runner.on_quarantine(start_time, quarantined);
+    send_to(fourth);
+    cr_assert(std::get<runner_answer>(fourth.m_actions.back()).m_answer.m_rule == rule::quarantined);
+}
+
 /** Each change of a record is reported once, by the node that makes it. */
 Test(runner, changes_of_suspicions_are_reported_for_the_log)
 {
