--- a/src/base/id_type.h
+++ b/src/base/id_type.h
@@ -51,7 +51,7 @@
  * used again.
  */
 struct row_version {
-    std::uint64_t m_era = 0;    ///< Number of restorations before the row was read.
+    std::uint64_t m_era = 0;    ///< Restorations that the reading process had seen.
     std::uint64_t m_number = 0; ///< Zero if the row does not exist.
 
     friend bool operator==(row_version a, row_version b)
--- a/test/platform_restore_test.cpp
+++ b/test/platform_restore_test.cpp
@@ -25,6 +25,7 @@
     std::uint64_t m_counter = 0;         ///< Version of the last write.
     std::uint64_t m_row_version = 0;     ///< Version of the operator's row.
     std::uint64_t m_row_revision = 0;    ///< Revision in the operator's row.
+    bool m_names_era = true;             ///< Whether answers have the header with the era.
     bool m_is_down = false;              ///< Whether all calls are refused.
     std::vector<exchange_id> m_feeds;    ///< Feeds that wait for a change.
     std::vector<http_request> m_commits; ///< Transactions received; answered by m_on_commit.
@@ -136,7 +137,8 @@
 
     void reply(exchange_id id, std::uint16_t status, const json& body)
     {
-        m_server->reply({id, status, {{"Store-Era", std::to_string(m_era)}}, body.dump()});
+        const header_list headers{{"Store-Era", std::to_string(m_era)}};
+        m_server->reply({id, status, m_names_era ? headers : header_list{}, body.dump()});
     }
 };
 
@@ -272,3 +274,42 @@
     cr_expect(!fixture.m_store->accepts_publications());
     cr_expect(make_store_client(fixture.m_loop, store_settings{}, 1)->accepts_publications());
 }
+
+/** The answer to the read after an interruption has no era. */
+Test(platform_restore, a_revision_in_an_answer_without_an_era_is_taken)
+{
+    store_fixture fixture;
+    fixture.write(8);
+    fixture.write(9);
+    fixture.watch();
+    cr_assert(fixture.runs_until(9));
+    fixture.restore(8, 1);
+    fixture.write(9);
+    fixture.m_is_down = false;
+    fixture.run(std::chrono::milliseconds(500));
+    fixture.m_names_era = false;
+    for (const exchange_id feed : std::exchange(fixture.m_feeds, {})) {
+        fixture.reply(feed, 503, json::object());
+    }
+    fixture.write(11);
+    cr_assert(fixture.runs_until(11));
+}
+
+/** The platform numbers its eras anew. */
+Test(platform_restore, a_revision_is_taken_where_the_number_of_the_era_goes_back_too)
+{
+    store_fixture fixture;
+    fixture.m_era = 5;
+    fixture.write(8);
+    fixture.write(9);
+    fixture.watch();
+    cr_assert(fixture.runs_until(9));
+    fixture.restore(8, 1);
+    fixture.m_is_down = false;
+    fixture.run(std::chrono::milliseconds(500));
+    fixture.restore(8, 1);
+    fixture.m_era = 1;
+    fixture.m_is_down = false;
+    fixture.write(11);
+    cr_assert(fixture.runs_until(11));
+}
