Fix: a publication was reported as not published while its commit could still take effect

What operators would have seen: "nothing was published", and seconds later the change in force. It needs a commit that is still on its way when the store is restored, and other writes that bring the head to the number that the commit requires.

Cause: an uncertain commit was taken for impossible once the head had another version. After a restoration numbers are given out again.

Change: the uncertainty ends with another version of the same era only; after a restoration the outcome stays unknown, and a refusal writes its fence. The fence itself can be lost with a restoration: open.

Result: an_uncertain_commit_stays_uncertain_after_the_store_was_restored failed before (not published) and passes; config_restore_test 11 of 11, config_publish_test 13 of 13.

--- a/src/config/publication_base.cpp
+++ b/src/config/publication_base.cpp
@@ -159,8 +159,10 @@
     if (m_refusal) {
         return write_fence();
     }
-    // The platform compares numbers only, so a commit in flight may take effect in a later era too.
-    if (m_uncertain_version && m_uncertain_version->m_number != m_head_version.m_number) {
+    // In a later era the head may get the number again, and a commit that is still in flight takes effect
+    // then.
+    if (m_uncertain_version && m_uncertain_version->m_era == m_head_version.m_era &&
+        *m_uncertain_version != m_head_version) {
         m_uncertain_version.reset();
     }
     return fetch_inputs();
--- a/test/config_restore_test.cpp
+++ b/test/config_restore_test.cpp
@@ -297,3 +297,23 @@
     cr_assert(end.m_result == publish_result::published);
     cr_expect(fixture.m_platform.m_objects.count(object_name(end.m_info.m_digest)) == 1);
 }
+
+/** The restored store may give the number of the head's version again, and then the delayed commit takes
+ * effect. */
+Test(config_restore, an_uncertain_commit_stays_uncertain_after_the_store_was_restored)
+{
+    restore_fixture fixture;
+    fixture.publish_up_to(1);
+    const fake_platform copy = fixture.m_platform;
+    fixture.publish_up_to(2);
+    writer test_writer = start(change(1, "[caller a]\nrate = 1\n[caller b]\nrate = 5\n", "id9"));
+    while (!std::holds_alternative<publish_commit>(test_writer.m_action)) {
+        test_writer.m_action = step(fixture.m_platform, test_writer, {}, fault::none);
+    }
+    test_writer.m_action = step(fixture.m_platform, test_writer, {}, fault::delayed);
+    restore_from(fixture.m_platform, copy);
+    const publish_end end = finish(fixture.m_platform, test_writer, [](const publish_action& action) {
+        return std::holds_alternative<publish_commit>(action) ? fault::unavailable : fault::none;
+    });
+    cr_assert(end.m_result == publish_result::unknown, "%s", end.m_detail.c_str());
+}
