--- a/src/call/entry_attempt.cpp
+++ b/src/call/entry_attempt.cpp
@@ -45,8 +45,8 @@
     return failed ? route_result::failed : route_result::refused;
 }
 
-/** Returns what the cancelled attempt with @p response means to a caller that still waits: the target's node had
- * lost its link to this one. */
+/** Returns what the cancelled attempt with @p response means to a caller that still waits: the target's node
+ * had lost its link to this one. */
 answer lost_attempt(const answer& response)
 {
     answer lost = response;
