--- a/src/call/runner.cpp
+++ b/src/call/runner.cpp
@@ -78,7 +78,7 @@
         }
     }
     const suspicion known_suspicion = m_quarantine.look_up(now, new_call.m_call.m_fingerprint);
-    new_call.m_exclusive = known_suspicion == suspicion::suspect || new_call.m_call.m_crashes > 0;
+    new_call.m_exclusive = is_suspected(known_suspicion) || new_call.m_call.m_crashes > 0;
     const bool wrong_service = new_call.m_call.m_service != m_settings.m_service;
     const open_call& current = m_calls.insert_or_assign(attempt, std::move(new_call)).first->second;
     if (known_suspicion == suspicion::quarantined || wrong_service) {
--- a/src/call/runner_end.cpp
+++ b/src/call/runner_end.cpp
@@ -175,8 +175,12 @@
         }
     }
     std::erase_if(others, [&](std::uint64_t fingerprint) { return exclusive.contains(fingerprint); });
-    broadcast(m_quarantine.on_crash(now, {exclusive.begin(), exclusive.end()}, true), actions);
-    broadcast(m_quarantine.on_crash(now, {others.begin(), others.end()}, false), actions);
+    std::vector<quarantine_record> changed =
+        m_quarantine.on_crash(now, {exclusive.begin(), exclusive.end()}, true);
+    const std::vector<quarantine_record> changed_others =
+        m_quarantine.on_crash(now, {others.begin(), others.end()}, false);
+    changed.insert(changed.end(), changed_others.begin(), changed_others.end());
+    broadcast(changed, actions);
     actions.emplace_back(runner_crash{exclusive.size() + others.size()});
     m_crash_answers_at = now + crash_answer_delay;
     close(now, rule::target_unreachable, actions);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -44,7 +44,7 @@
 {
     for (const suspicion_change& change : changes) {
         event logged = event::request_released;
-        if (change.m_suspicion == suspicion::suspect) {
+        if (is_suspected(change.m_suspicion)) {
             logged = event::request_suspected;
         }
         if (change.m_suspicion == suspicion::quarantined) {
--- a/src/policy/quarantine.cpp
+++ b/src/policy/quarantine.cpp
@@ -1,7 +1,9 @@
 /** @file quarantine.cpp Quarantine of requests that crash targets. */
 #include "policy/quarantine_base.h"
 
+#include <algorithm>
 #include <array>
+#include <deque>
 #include <set>
 #include <tuple>
 #include <unordered_map>
@@ -39,6 +41,15 @@
                            current);
 }
 
+constexpr std::size_t max_crashes = 64; ///< Recent crashes remembered, at most.
+
+/** A crash of a target. */
+struct crash {
+    instant m_at;                      ///< When it became known.
+    bool m_is_own = false;             ///< Whether it was the target of this node.
+    std::set<std::uint64_t> m_running; ///< Requests in progress there.
+};
+
 /** Classes of entries, in the order in which they are evicted when the table is full. */
 enum class eviction_class { cleared, suspect, released, quarantined };
 constexpr std::size_t eviction_classes = 4;
@@ -49,7 +60,7 @@
     if (current == suspicion::quarantined) {
         return eviction_class::quarantined;
     }
-    if (current == suspicion::suspect) {
+    if (is_suspected(current)) {
         return eviction_class::suspect;
     }
     return releases_of(version) > 0 ? eviction_class::released : eviction_class::cleared;
@@ -86,6 +97,7 @@
     std::uint64_t m_clock = 0; ///< Highest number of changes seen, as a Lamport clock.
     std::unordered_map<std::uint64_t, entry> m_entries;
     std::array<std::set<eviction_key>, eviction_classes> m_eviction_order; ///< Indexed by eviction_class.
+    std::deque<crash> m_crashes; ///< Crashes within the coincidence window, oldest first.
 
     duration retention_of(eviction_class kind) const;
     bool expired(instant now, const entry& current) const;
@@ -94,6 +106,9 @@
     void put(std::uint64_t fingerprint, const entry& value);
     quarantine_record change(instant now, std::uint64_t fingerprint, suspicion next, std::uint64_t releases);
     bool merge_record(instant now, const quarantine_record& record);
+    void add_crash(instant now, bool is_own, const std::set<std::uint64_t>& running);
+    bool is_coincidence_likely(std::uint64_t fingerprint) const;
+    suspicion after_crash(std::uint64_t fingerprint, suspicion current, bool exclusive) const;
 };
 
 duration quarantine::state::retention_of(eviction_class kind) const
@@ -180,6 +195,40 @@
     return true;
 }
 
+/** Remembers a crash; a call for the own target at the time of its last crash adds to that crash. */
+void quarantine::state::add_crash(instant now, bool is_own, const std::set<std::uint64_t>& running)
+{
+    while (!m_crashes.empty() && (now - m_crashes.front().m_at > m_settings.m_coincidence_window ||
+                                  m_crashes.size() >= max_crashes)) {
+        m_crashes.pop_front();
+    }
+    const bool is_same =
+        is_own && !m_crashes.empty() && m_crashes.back().m_is_own && m_crashes.back().m_at == now;
+    if (!is_same) {
+        m_crashes.push_back({now, is_own, {}});
+    }
+    m_crashes.back().m_running.insert(running.begin(), running.end());
+}
+
+/** Returns whether a target has crashed recently that did not run @p fingerprint. */
+bool quarantine::state::is_coincidence_likely(std::uint64_t fingerprint) const
+{
+    return std::any_of(m_crashes.begin(), m_crashes.end(),
+                       [fingerprint](const crash& each) { return !each.m_running.contains(fingerprint); });
+}
+
+/** Returns the state of @p fingerprint, which was @p current when a target that ran it crashed. */
+suspicion quarantine::state::after_crash(std::uint64_t fingerprint, suspicion current, bool exclusive) const
+{
+    if (!exclusive || !is_suspected(current)) {
+        return current == suspicion::strong_suspect ? current : suspicion::suspect;
+    }
+    if (current == suspicion::suspect && is_coincidence_likely(fingerprint)) {
+        return suspicion::strong_suspect;
+    }
+    return suspicion::quarantined;
+}
+
 quarantine::quarantine(const quarantine_settings& settings, std::uint64_t salt)
     : m_state(std::make_unique<state>())
 {
@@ -206,14 +255,14 @@
     m_state->expire(now);
     std::vector<quarantine_record> changed;
     const std::set<std::uint64_t> distinct(running.begin(), running.end());
+    m_state->add_crash(now, true, distinct);
     for (const std::uint64_t fingerprint : distinct) {
         const auto found = m_state->m_entries.find(fingerprint);
         const entry current = found == m_state->m_entries.end() ? entry{} : found->second;
         if (current.m_suspicion == suspicion::quarantined) {
             continue;
         }
-        const bool proven = exclusive && current.m_suspicion == suspicion::suspect;
-        const suspicion next = proven ? suspicion::quarantined : suspicion::suspect;
+        const suspicion next = m_state->after_crash(fingerprint, current.m_suspicion, exclusive);
         changed.push_back(m_state->change(now, fingerprint, next, releases_of(current.m_version)));
     }
     return changed;
@@ -222,7 +271,7 @@
 std::vector<quarantine_record> quarantine::on_completed(instant now, std::uint64_t fingerprint)
 {
     m_state->expire(now);
-    if (look_up(now, fingerprint) != suspicion::suspect) {
+    if (!is_suspected(look_up(now, fingerprint))) {
         return {};
     }
     const std::uint64_t releases = releases_of(m_state->m_entries.at(fingerprint).m_version);
@@ -243,10 +292,18 @@
 {
     m_state->expire(now);
     std::vector<quarantine_record> changed;
+    std::set<std::uint64_t> running;
     for (const quarantine_record& record : records) {
         if (m_state->merge_record(now, record)) {
             changed.push_back(record);
         }
+        if (record.m_suspicion != suspicion::none &&
+            record.m_age <= m_state->m_settings.m_coincidence_window) {
+            running.insert(record.m_fingerprint);
+        }
+    }
+    if (!changed.empty() && !running.empty()) {
+        m_state->add_crash(now, false, running);
     }
     return changed;
 }
--- a/src/policy/quarantine_base.h
+++ b/src/policy/quarantine_base.h
@@ -17,15 +17,24 @@
     duration m_suspect_retention = std::chrono::minutes(10);
     /** A quarantined or released fingerprint is forgotten after this time. */
     duration m_quarantine_retention = std::chrono::hours(24);
+    /** A crash is no proof against a request if a target that did not run it has crashed within this time. */
+    duration m_coincidence_window = std::chrono::seconds(10);
 };
 
 /** Quarantine state of a request. */
 enum class suspicion {
-    none,       ///< Not suspect.
-    suspect,    ///< Was in progress when one target crashed; runs alone, once.
-    quarantined ///< Ran exclusively, as a suspect, when another target crashed; is not run.
+    none,          ///< Not suspect.
+    suspect,       ///< Was in progress when one target crashed; runs alone.
+    quarantined,   ///< Its exclusive run crashed a target, and coincidence is unlikely; is not run.
+    strong_suspect ///< Its exclusive run crashed a target while others crashed too; runs alone once more.
 };
 
+/** Returns whether a request in state @p current may only run exclusively. Thread safety: pure. */
+inline bool is_suspected(suspicion current)
+{
+    return current == suspicion::suspect || current == suspicion::strong_suspect;
+}
+
 /**
  * The state of one fingerprint. Of two records, the one that is greater in this order wins a merge: number of
  * releases, then whether it is quarantined, then number of changes, then suspicion.
@@ -49,16 +58,18 @@
     suspicion look_up(instant now, std::uint64_t fingerprint) const;
 
     /**
-     * Records that a target crashed while @p running were in progress there. All become suspects, except that
-     * suspects become quarantined if they ran @p exclusive: a run beside others, which may have started
-     * before the suspicion was known, does not tell which of them crashed the target.
-     * @return the changed records, to be sent to peers.
+     * Records that the own target crashed while @p running were in progress there; calls at the same time
+     * concern the same crash. All become suspects, except that suspects become quarantined if they ran
+     * @p exclusive: a run beside others, which may have started before the suspicion was known, does not tell
+     * which of them crashed the target. While targets crash that did not run the request, its first exclusive
+     * run that crashes one makes it a strong suspect only.
+     * @return the changed records, to be sent to peers in one message.
      */
     std::vector<quarantine_record> on_crash(instant now, const std::vector<std::uint64_t>& running,
                                             bool exclusive);
 
     /**
-     * Records that @p fingerprint finished without a crash: clears a suspect, never a quarantine.
+     * Records that @p fingerprint finished without a crash: clears a suspicion, never a quarantine.
      * @return the changed records, to be sent to peers.
      */
     std::vector<quarantine_record> on_completed(instant now, std::uint64_t fingerprint);
@@ -66,7 +77,7 @@
     /** Releases @p fingerprint by order of an operator. @return the changed records, to be sent to peers. */
     std::vector<quarantine_record> release(instant now, std::uint64_t fingerprint);
 
-    /** Merges @p records of a peer. @return the records that changed here. */
+    /** Merges @p records of one message of a peer. @return the records that changed here. */
     std::vector<quarantine_record> merge(instant now, const std::vector<quarantine_record>& records);
 
     /** Returns all records that have not expired. */
--- a/src/policy/quarantine_codec.cpp
+++ b/src/policy/quarantine_codec.cpp
@@ -29,7 +29,7 @@
     const auto suspicion_value = fields[1].get<std::uint64_t>();
     const auto version = fields[2].get<std::uint64_t>();
     const auto age = fields[3].get<std::uint64_t>();
-    if (suspicion_value > static_cast<std::uint64_t>(suspicion::quarantined) || age > max_age_ms ||
+    if (suspicion_value > static_cast<std::uint64_t>(suspicion::strong_suspect) || age > max_age_ms ||
         (version >> 32U) > max_version_half || (version & 0xFFFFFFFFU) > max_version_half) {
         return false;
     }
