Fix: requests for a host with a name of over 128 bytes were refused

What callers would see: 400 bad-header for a proper request, on a route that the configuration accepts.

Cause: Host was held to the limit of our own names and keys. The configuration accepts hosts of up to 253 bytes.

Change: Host may have 253 bytes and a port.

--- a/src/call/context_func.cpp
+++ b/src/call/context_func.cpp
@@ -15,6 +15,7 @@
 constexpr int hexadecimal = 16;
 constexpr std::size_t id_digits = 16;
 constexpr std::size_t context_size = 2 * id_digits + 2 + 2;
+constexpr std::size_t host_limit = 253 + 6; ///< A host name, as in the configuration, and a port.
 constexpr std::int64_t max_deadline_ms = 24 * 60 * 60 * 1000;
 
 /** Hop-by-hop headers: they concern one connection only and are not forwarded. */
@@ -53,22 +54,23 @@
     return failure == std::errc{} && stop == end && !text.empty();
 }
 
-/** Returns whether @p text is a valid name or key: visible ASCII, up to name_limit bytes. */
-bool is_name(const std::string& text)
+/** Returns whether @p text is visible ASCII of up to @p limit bytes. */
+bool is_name(const std::string& text, std::size_t limit)
 {
     const auto is_visible = [](char character) { return character > ' ' && character < '\x7f'; };
-    return !text.empty() && text.size() <= name_limit && std::all_of(text.begin(), text.end(), is_visible);
+    return !text.empty() && text.size() <= limit && std::all_of(text.begin(), text.end(), is_visible);
 }
 
-/** Reads the header @p name into @p value. @return false if it is present and malformed. */
-bool read_name(const header_list& headers, std::string_view name, std::string& value)
+/** Reads the header @p name, a name or key, into @p value. @return false if it is present and malformed. */
+bool read_name(const header_list& headers, std::string_view name, std::string& value,
+               std::size_t limit = name_limit)
 {
     const std::string* const text = find_header(headers, name);
     if (text == nullptr) {
         return true;
     }
     value = *text;
-    return is_name(value);
+    return is_name(value, limit);
 }
 
 /** Returns the error for a malformed header @p name. */
@@ -132,7 +134,7 @@
 result<request_fields> read_request_fields(const header_list& headers, std::string_view deadline_name)
 {
     request_fields fields;
-    if (!read_name(headers, "Host", fields.m_host) || fields.m_host.empty()) {
+    if (!read_name(headers, "Host", fields.m_host, host_limit) || fields.m_host.empty()) {
         return malformed_header("Host");
     }
     fields.m_host = to_lower(fields.m_host.substr(0, fields.m_host.find(':')));
--- a/test/entry_test.cpp
+++ b/test/entry_test.cpp
@@ -297,6 +297,24 @@
     cr_assert(std::holds_alternative<entry_send>(fixture.send_request("/plain/x", {{"Id", "r1.a"}})));
 }
 
+/** The configuration accepts host names of up to 253 bytes. */
+Test(entry, a_request_for_a_long_host_name_is_not_refused)
+{
+    const std::string host(253, 'h');
+    auto set = std::make_shared<config_set>(*configuration());
+    set->m_kinds.at(kind_name{"plain"}).m_host = host;
+    entry_fixture fixture;
+    fixture.m_entry.configure(set);
+    for (const std::string& name : {host, host + ":65535"}) {
+        fixture.m_actions.clear();
+        fixture.m_entry.on_request(
+            fixture.m_now,
+            {exchange_id{++fixture.m_last}, "GET", "/plain/", {{"Host", name}}, "", false, true, false},
+            fixture.m_actions);
+        cr_assert(std::holds_alternative<entry_send>(fixture.m_actions.back()));
+    }
+}
+
 Test(entry, a_path_without_a_kind_is_not_found)
 {
     entry_fixture fixture;
