--- a/src/call/context_func.cpp
+++ b/src/call/context_func.cpp
@@ -16,7 +16,7 @@
 constexpr std::size_t id_digits = 16;
 constexpr std::size_t context_size = 2 * id_digits + 2 + 2;
 constexpr std::size_t host_limit = 253 + 6; ///< A host name, as in the configuration, and a port.
-constexpr std::int64_t max_deadline_ms = 24 * 60 * 60 * 1000;
+constexpr std::int64_t max_deadline_ms = 24 * 60 * 60 * 1000; ///< Longer ones count as this.
 
 /** Hop-by-hop headers: they concern one connection only and are not forwarded. */
 constexpr std::array<std::string_view, 10> hop_by_hop_headers{"Connection",
@@ -73,6 +73,18 @@
     return is_name(value, limit);
 }
 
+/** Reads a deadline in milliseconds: digits, of any number. */
+std::optional<duration> read_deadline(const std::string& text)
+{
+    const auto is_digit = [](char character) { return character >= '0' && character <= '9'; };
+    if (text.empty() || !std::all_of(text.begin(), text.end(), is_digit)) {
+        return std::nullopt;
+    }
+    std::int64_t milliseconds = 0;
+    const bool is_in_range = read_number(text, milliseconds);
+    return std::chrono::milliseconds(is_in_range ? std::min(milliseconds, max_deadline_ms) : max_deadline_ms);
+}
+
 /** Returns the error for a malformed header @p name. */
 error malformed_header(std::string_view name)
 {
@@ -148,11 +160,10 @@
         return malformed_header(idempotency_key_header);
     }
     if (const std::string* const text = find_header(headers, deadline_name)) {
-        std::int64_t milliseconds = 0;
-        if (!read_number(*text, milliseconds) || milliseconds < 0 || milliseconds > max_deadline_ms) {
+        fields.m_deadline = read_deadline(*text);
+        if (!fields.m_deadline.has_value()) {
             return malformed_header(deadline_name);
         }
-        fields.m_deadline = std::chrono::milliseconds(milliseconds);
     }
     if (const std::string* const text = find_header(headers, context_header)) {
         fields.m_parent = read_context(*text);
--- a/test/entry_test.cpp
+++ b/test/entry_test.cpp
@@ -315,6 +315,21 @@
     }
 }
 
+/** A caller may wait for longer than any request is kept. */
+Test(entry, a_request_whose_caller_waits_for_days_is_not_refused)
+{
+    entry_fixture fixture;
+    for (const char* wait : {"86400001", "9223372036854775807", "99999999999999999999"}) {
+        const entry_action action = fixture.send_request("/plain/", {{"Time", wait}});
+        cr_assert(std::holds_alternative<entry_send>(action));
+        cr_assert(sent_call(action).m_context.m_time_left > duration::zero());
+    }
+    for (const char* wait : {"", "-1", "1x", "99999999999999999999x"}) {
+        const entry_action action = fixture.send_request("/plain/", {{"Time", wait}});
+        cr_assert(std::get<entry_reply>(action).m_answer.m_rule == rule::bad_header);
+    }
+}
+
 Test(entry, a_path_without_a_kind_is_not_found)
 {
     entry_fixture fixture;
