Fix: a suspect that a target refused to run was cleared

What callers would see: a request that crashes targets is no suspect any more once a full target has refused it, and crashes two more.

Cause: every answer of the target counted as a clean finish, also one that says that the request did not run.

Change: an answer that says so leaves the suspicion as it is.

Price: a suspected lookup stays a suspect until a target has run it.

--- a/src/call/runner_end.cpp
+++ b/src/call/runner_end.cpp
@@ -90,7 +90,9 @@
         end = response.m_final ? run_end::cancelled : end;
         m_counters.m_succeeded += end == run_end::succeeded ? 1 : 0;
     }
-    broadcast(m_quarantine.on_completed(now, current.m_call.m_fingerprint), actions);
+    if (end != run_end::refused) {
+        broadcast(m_quarantine.on_completed(now, current.m_call.m_fingerprint), actions);
+    }
     end_run(now, attempt, std::move(response), end, actions);
 }
 
--- a/test/runner_test.cpp
+++ b/test/runner_test.cpp
@@ -135,6 +135,21 @@
     cr_assert(std::get<runner_answer>(fourth.m_actions.back()).m_answer.m_rule == rule::quarantined);
 }
 
+/** A target that has no room refuses a suspect without running it. */
+Test(runner, a_suspect_that_the_target_refuses_to_run_stays_a_suspect)
+{
+    runner_fixture fixture;
+    const std::uint64_t fingerprint = 0;
+    fixture.m_runner.on_quarantine(start_time, {{fingerprint, suspicion::suspect, 1, duration::zero()}});
+    answer response;
+    response.m_status = 503;
+    response.m_headers = {{std::string(outcome_header), std::string(to_string(run_state::not_run))}};
+    fixture.m_runner.on_target_answer(start_time, attempt_id{1}, response, fixture.m_actions);
+    cr_assert(std::get<runner_answer>(fixture.m_actions.back()).m_answer.m_rule == rule::target_refused);
+    const auto suspects = fixture.m_runner.suspects(start_time);
+    cr_assert(suspects.size() == 1 && suspects.front().second == suspicion::suspect);
+}
+
 /** Each change of a record is reported once, by the node that makes it. */
 Test(runner, changes_of_suspicions_are_reported_for_the_log)
 {
