--- a/src/policy/quarantine.cpp
+++ b/src/policy/quarantine.cpp
@@ -41,7 +41,8 @@
                            current);
 }
 
-constexpr std::size_t max_crashes = 64; ///< Recent crashes remembered, at most.
+constexpr std::size_t max_crashes = 64;    ///< Recent crashes remembered, at most.
+constexpr std::size_t max_finishes = 4096; ///< Requests whose recent finish is remembered, at most.
 
 /** A crash of a target. */
 struct crash {
@@ -98,6 +99,8 @@
     std::unordered_map<std::uint64_t, entry> m_entries;
     std::array<std::set<eviction_key>, eviction_classes> m_eviction_order; ///< Indexed by eviction_class.
     std::deque<crash> m_crashes; ///< Crashes within the coincidence window, oldest first.
+    std::unordered_map<std::uint64_t, instant> m_finishes; ///< Last clean finish here, by fingerprint.
+    std::set<eviction_key> m_finish_order;                 ///< The same, oldest first.
 
     duration retention_of(eviction_class kind) const;
     bool expired(instant now, const entry& current) const;
@@ -107,6 +110,8 @@
     quarantine_record change(instant now, std::uint64_t fingerprint, suspicion next, std::uint64_t releases);
     bool merge_record(instant now, const quarantine_record& record);
     void add_crash(instant now, bool is_own, const std::set<std::uint64_t>& running);
+    void add_finish(instant now, std::uint64_t fingerprint);
+    void expire_finishes(instant now);
     bool is_coincidence_likely(std::uint64_t fingerprint) const;
     suspicion after_crash(std::uint64_t fingerprint, suspicion current, bool exclusive) const;
 };
@@ -210,9 +215,35 @@
     m_crashes.back().m_running.insert(running.begin(), running.end());
 }
 
-/** Returns whether a target has crashed recently that did not run @p fingerprint. */
+/** Remembers that @p fingerprint finished without a crash. */
+void quarantine::state::add_finish(instant now, std::uint64_t fingerprint)
+{
+    const auto [found, is_new] = m_finishes.try_emplace(fingerprint, now);
+    if (!is_new) {
+        m_finish_order.erase({found->second, fingerprint});
+        found->second = now;
+    }
+    m_finish_order.insert({now, fingerprint});
+    expire_finishes(now);
+}
+
+void quarantine::state::expire_finishes(instant now)
+{
+    while (!m_finish_order.empty() &&
+           (m_finishes.size() > max_finishes ||
+            now - std::get<instant>(*m_finish_order.begin()) > m_settings.m_coincidence_window)) {
+        m_finishes.erase(std::get<std::uint64_t>(*m_finish_order.begin()));
+        m_finish_order.erase(m_finish_order.begin());
+    }
+}
+
+/** Returns whether @p fingerprint has finished recently, or a target has crashed recently that did not run
+ * it. */
 bool quarantine::state::is_coincidence_likely(std::uint64_t fingerprint) const
 {
+    if (m_finishes.contains(fingerprint)) {
+        return true;
+    }
     return std::any_of(m_crashes.begin(), m_crashes.end(),
                        [fingerprint](const crash& each) { return !each.m_running.contains(fingerprint); });
 }
@@ -253,6 +284,7 @@
                                                     bool exclusive)
 {
     m_state->expire(now);
+    m_state->expire_finishes(now);
     std::vector<quarantine_record> changed;
     const std::set<std::uint64_t> distinct(running.begin(), running.end());
     m_state->add_crash(now, true, distinct);
@@ -271,6 +303,7 @@
 std::vector<quarantine_record> quarantine::on_completed(instant now, std::uint64_t fingerprint)
 {
     m_state->expire(now);
+    m_state->add_finish(now, fingerprint);
     if (!is_suspected(look_up(now, fingerprint))) {
         return {};
     }
--- a/src/policy/quarantine_base.h
+++ b/src/policy/quarantine_base.h
@@ -17,7 +17,8 @@
     duration m_suspect_retention = std::chrono::minutes(10);
     /** A quarantined or released fingerprint is forgotten after this time. */
     duration m_quarantine_retention = std::chrono::hours(24);
-    /** A crash is no proof against a request if a target that did not run it has crashed within this time. */
+    /** A crash is no proof against a request if a target that did not run it has crashed within this time, or
+     * the request has finished at the own target. */
     duration m_coincidence_window = std::chrono::seconds(10);
 };
 
@@ -61,8 +62,8 @@
      * Records that the own target crashed while @p running were in progress there; calls at the same time
      * concern the same crash. All become suspects, except that suspects become quarantined if they ran
      * @p exclusive: a run beside others, which may have started before the suspicion was known, does not tell
-     * which of them crashed the target. While targets crash that did not run the request, its first exclusive
-     * run that crashes one makes it a strong suspect only.
+     * which of them crashed the target. While targets crash that did not run the request, or if the request
+     * has finished recently, its first exclusive run that crashes a target makes it a strong suspect only.
      * @return the changed records, to be sent to peers in one message.
      */
     std::vector<quarantine_record> on_crash(instant now, const std::vector<std::uint64_t>& running,
--- a/test/quarantine_test.cpp
+++ b/test/quarantine_test.cpp
@@ -115,6 +115,28 @@
     cr_assert(table.look_up(start + 11s, 1) == suspicion::quarantined);
 }
 
+/** Servers crash in series, and all of them run a lookup that is in progress everywhere. */
+Test(quarantine, a_frequent_lookup_that_ran_at_every_crashed_server_is_not_refused)
+{
+    quarantine table({}, salt);
+    quarantine peer({}, salt);
+    table.on_completed(start, 1);
+    table.merge(start + 1s, peer.on_crash(start + 1s, {1, 2}, false));
+    table.on_crash(start + 3s, {1}, true);
+    cr_assert(table.look_up(start + 3s, 1) == suspicion::strong_suspect);
+    cr_assert(table.on_completed(start + 4s, 1).size() == 1);
+    cr_assert(table.look_up(start + 4s, 1) == suspicion::none);
+}
+
+Test(quarantine, a_finish_is_no_evidence_after_its_window)
+{
+    quarantine table({}, salt);
+    table.on_completed(start, 1);
+    table.on_crash(start + 5s, {1, 2}, false);
+    table.on_crash(start + 11s, {1}, true);
+    cr_assert(table.look_up(start + 11s, 1) == suspicion::quarantined);
+}
+
 Test(quarantine, merge_is_commutative_associative_and_idempotent)
 {
     cr_assert(rc::check("any order and any repetition gives the same table", [] {
