Fix: an operator's configuration of more than 4,096 routes was refused by every node

Cause: the operator's configuration is checked against the limits for files that people write: 4,096 objects of a sort, 1 MiB. A larger one, valid for the platform, is refused (E501), and the old one stays in force. Class: a limit of our own refuses what the platform has accepted, and the nodes answer from outdated state.

Change: 16,384 objects of a sort, 4 MiB of text, 8 MiB for a request with a whole configuration to an operators' address. Above 4 MiB the messages that wait for a link (256) would have to grow too. The same limits were looked for elsewhere: pages of a delta follow the text's, the store client reads 16 MiB, and the history of revisions always keeps the newest.

Remains: a set above the new limits is still refused, with the old one in force.

--- a/src/config/config_func.h
+++ b/src/config/config_func.h
@@ -12,11 +12,12 @@
 
 namespace waxwing {
 
-/** Limit for the total size of the files of a configuration, in bytes. */
-inline constexpr std::size_t config_text_limit = std::size_t{1} << 20U;
+/** Limit for the total size of the files of a configuration, in bytes: well below what the platform's store
+ * takes as one object. */
+inline constexpr std::size_t config_text_limit = std::size_t{4} << 20U;
 
-/** Limit for the number of objects of one type in a configuration. */
-inline constexpr std::size_t object_limit = 4096;
+/** Limit for the number of objects of one type in a configuration; about as many fit into the text. */
+inline constexpr std::size_t object_limit = 16'384;
 
 /**
  * Parses and validates a whole configuration. Thread safety: pure.
--- a/src/node/operators_task.cpp
+++ b/src/node/operators_task.cpp
@@ -17,7 +17,7 @@
 
 constexpr std::string_view bearer = "Bearer ";
 constexpr unsigned operator_connections = 100;
-constexpr std::size_t operator_body_limit = 4 * 1024 * 1024; ///< Bytes; a whole configuration fits.
+constexpr std::size_t operator_body_limit = 8 * 1024 * 1024; ///< Bytes; a whole configuration fits.
 
 /** Returns the value of @p key in the query of @p path; empty where there is none. */
 std::string query_value(std::string_view path, std::string_view key)
--- a/test/platform_restore_store.h
+++ b/test/platform_restore_store.h
@@ -23,6 +23,7 @@
     std::uint64_t m_counter = 0;         ///< Version of the last write.
     std::uint64_t m_row_version = 0;     ///< Version of the operator's row.
     std::uint64_t m_row_revision = 0;    ///< Revision in the operator's row.
+    json m_resources = json::array();    ///< Routes and services in the operator's row.
     bool m_names_era = true;             ///< Whether answers have the header with the era.
     bool m_is_down = false;              ///< Whether all calls are refused.
     std::vector<exchange_id> m_feeds;    ///< Feeds that wait for a change.
@@ -111,7 +112,7 @@
 
     json row() const
     {
-        const json config{{"version", m_row_revision}, {"resources", json::array()}};
+        const json config{{"version", m_row_revision}, {"resources", m_resources}};
         return {{"table", "op"},
                 {"part", ""},
                 {"key", "config"},
--- a/test/platform_restore_test.cpp
+++ b/test/platform_restore_test.cpp
@@ -179,3 +179,30 @@
     fixture.write(11);
     cr_assert(fixture.runs_until(11));
 }
+
+/** An operator's configuration grows by many routes, several times. */
+Test(operator_store, a_configuration_that_has_grown_to_thousands_of_routes_is_taken)
+{
+    constexpr int route_count = 16'000;
+    store_fixture fixture;
+    fixture.m_resources.push_back(
+        {{"typeUrl", "services"}, {"metadata", {{"name", "a1"}}}, {"spec", {{"healthPath", "/h"}}}});
+    fixture.write(8);
+    fixture.watch();
+    cr_assert(fixture.runs_until(8));
+    for (int route = 0; route < route_count; ++route) {
+        const std::string name = "r" + std::to_string(route);
+        fixture.m_resources.push_back({{"typeUrl", "routes"},
+                                       {"metadata", {{"name", name}}},
+                                       {"spec",
+                                        {{"host", "bookings.example"},
+                                         {"prefix", "/" + name + "/"},
+                                         {"service", "a1"},
+                                         {"kind", "safe"},
+                                         {"timeoutMs", 5000}}}});
+    }
+    fixture.write(9);
+    for (int round = 0; round < 10 && !fixture.runs_until(9); ++round) {
+    }
+    cr_assert(fixture.m_seen == 9);
+}
