Change: half of the soak's clients keep a connection until it ends

The clients closed each connection after at most 20 requests, within half a second, so a planned stop of some seconds met hardly a connection that had been open before it. Clients with an even number now use a connection until an exchange on it fails, so also while its node stops, and as the caller `club-portal`: as callers without a name they gather at one entry, exceed its 100 requests a second and are refused by `caller-share` as configured. The other clients change nodes as before, without a name.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -30,6 +30,7 @@
 CLIENTS = 8
 ORDER_RATIO = 0.3
 MAX_REQUESTS_PER_CONNECTION = 20
+CALLER = "club-portal"     # A caller whose rate at one entry node admits all clients.
 MAX_ATTEMPTS = 3           # Per order; it is sent again only after a not-run response.
 PAUSE_S = (0.005, 0.03)    # Range of the pause between two requests of a client.
 RESPONSE_TIMEOUT_S = 10.0  # Longer than every deadline of a request.
@@ -66,12 +67,14 @@
         self._number = number
         self._random = random.Random(seed)
         self._count = 0
+        self._keeps_connections = number % 2 == 0  # Whether a connection is used until it ends.
 
     def run(self):
         while not self._soak.stopping.is_set():
             entry = self._random.choice(self._soak.lab.instances)
             connection = http.client.HTTPConnection(HOST, entry.callers, timeout=RESPONSE_TIMEOUT_S)
-            for _ in range(self._random.randint(1, MAX_REQUESTS_PER_CONNECTION)):
+            planned = self._random.randint(1, MAX_REQUESTS_PER_CONNECTION)
+            for _ in range(sys.maxsize if self._keeps_connections else planned):
                 if self._soak.stopping.is_set() or not self._send_one(connection, entry):
                     break
                 time.sleep(self._random.uniform(*PAUSE_S))
@@ -94,6 +97,8 @@
     def _exchange(self, connection, entry, key, request_id):
         headers = {"Host": "orders" if key else "records", "X-Request-Id": request_id,
                    "Waxwing-Deadline-Ms": str(DEADLINE_MS)}
+        if self._keeps_connections:
+            headers["Waxwing-Caller"] = CALLER
         if key:
             headers["Idempotency-Key"] = key
         one = Attempt(request_id, key, entry.name, self._soak.now(), 0.0, Outcome.CUT)
