Fix: a target got far more requests than the rate that it had named

Cause: nobody read the header. Ruled out by the new event W305, which shows the limit at the node beside the server within 50 ms: that it is known too late.

Change: the node beside the target starts no more runs a second than the target names, refuses what can't start within the longest time in queue so that it goes elsewhere, and reports a limit that fits the rate. The limiter of callers' shares moves to a header of its own and serves both. W305 and W306 tell of limits and of values that can't be read.

--- a/src/call/runner.cpp
+++ b/src/call/runner.cpp
@@ -251,4 +251,10 @@
     m_admission.hint(now, slots);
 }
 
+void runner::limit_rate(instant now, std::optional<double> rate, std::vector<runner_action>& actions)
+{
+    m_admission.limit_starts(now, rate, m_admission_actions);
+    apply(now, actions);
+}
+
 } // namespace waxwing
--- a/src/call/runner_base.h
+++ b/src/call/runner_base.h
@@ -101,6 +101,9 @@
     /** Lowers the concurrency limit to @p slots temporarily. */
     void hint(instant now, std::uint32_t slots);
 
+    /** Starts no more than @p rate runs a second; none ends the limit. */
+    void limit_rate(instant now, std::optional<double> rate, std::vector<runner_action>& actions);
+
     /** Handles timers that are due. To be called at next_tick. */
     void tick(instant now, std::vector<runner_action>& actions);
 
--- a/src/events/event_type.h
+++ b/src/events/event_type.h
@@ -22,6 +22,8 @@
     target_crashed,
     announcement_refused,
     load_probe_failed,
+    target_rate_limited,
+    rate_limit_ignored,
     drain_started,
     drain_finished,
     drain_overrun,
--- a/src/node/call_task.cpp
+++ b/src/node/call_task.cpp
@@ -164,6 +164,7 @@
                    },
                    [&](probe_ended& message) { m_runner.on_probe(now, message.m_accepts, m_runner_actions); },
                    [&](limit_hinted& message) { m_runner.hint(now, message.m_slots); },
+                   [&](target_rate_limited& message) { limit_rate(now, message.m_rate); },
                    [&](quarantine_received& message) { m_runner.on_quarantine(now, message.m_records); },
                    [&](link_event& message) { on_link(std::move(message)); },
                },
@@ -171,6 +172,11 @@
     process_actions();
 }
 
+void call_task::limit_rate(instant now, std::optional<double> rate)
+{
+    m_runner.limit_rate(now, rate, m_runner_actions);
+}
+
 void call_task::on_link(link_event&& event)
 {
     const instant now = event_loop::now();
--- a/src/node/call_task_base.h
+++ b/src/node/call_task_base.h
@@ -66,6 +66,7 @@
     void on_command(call_command&& command);
     void on_http(http_server_event&& event);
     http_server_settings server_settings() const;
+    void limit_rate(instant now, std::optional<double> rate);
     void on_link(link_event&& event);
     void on_message(const node_id& peer, link_message&& message);
     void on_undelivered(link_undelivered&& event);
--- a/src/node/target_task.cpp
+++ b/src/node/target_task.cpp
@@ -5,6 +5,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <charconv>
+#include <cmath>
+
 namespace waxwing {
 
 namespace {
@@ -20,6 +23,7 @@
     std::chrono::seconds(8); ///< Targets commonly close idle connections after 10 s or more.
 constexpr std::size_t connections_per_slot = 2; ///< One in use, one being closed or opened.
 constexpr std::size_t spare_connections = 8;    ///< Additional connections, for targets with few slots.
+constexpr std::size_t max_logged_value = 64;    ///< Bytes of an invalid header value in the log.
 
 /** Returns the target state with the chart name @p name. */
 target_state to_target_state(const std::string& name)
@@ -33,6 +37,16 @@
     return target_state::absent;
 }
 
+/** Reads a rate in requests a second: a decimal number; none if @p text is anything else. */
+std::optional<double> read_rate(const std::string& text)
+{
+    double rate = 0.0;
+    const char* const end = text.data() + text.size();
+    const auto [stop, failure] = std::from_chars(text.data(), end, rate, std::chars_format::fixed);
+    const bool is_valid = failure == std::errc{} && stop == end && std::isfinite(rate) && rate >= 0.0;
+    return is_valid ? std::optional(rate) : std::nullopt;
+}
+
 /** Converts @p kind to how far the run had progressed. */
 target_failure to_target_failure(http_failure_kind kind)
 {
@@ -120,6 +134,9 @@
         raise("lost");
     }
     m_target = announcement;
+    if (m_rate_limit) {
+        set_rate_limit(std::nullopt);
+    }
     start_client();
 }
 
@@ -140,8 +157,10 @@
     calls.m_connection_limit = connection_limit();
     calls.m_connect_timeout = connect_timeout;
     calls.m_idle_timeout = idle_timeout;
-    m_client = http_client::make(m_loop, calls,
-                                 [this](http_client_event&& event) { on_run_event(std::move(event)); });
+    m_client =
+        http_client::make(m_loop, calls, [this, generation = ++m_generation](http_client_event&& event) {
+            on_run_event(generation, std::move(event));
+        });
 }
 
 void target_task::set_connections(std::uint32_t connections)
@@ -172,9 +191,34 @@
     }
 }
 
-void target_task::on_run_event(http_client_event&& event)
+/** Applies the rate limit that the target names in an answer with @p headers, or the end of it. */
+void target_task::read_rate_limit(const header_list& headers)
+{
+    const std::string* const text =
+        m_dialect.m_rate_limit.empty() ? nullptr : find_header(headers, m_dialect.m_rate_limit);
+    const std::optional<double> rate = text == nullptr ? std::nullopt : read_rate(*text);
+    if (text != nullptr && !rate) {
+        log_event(event::rate_limit_ignored, {{"value", text->substr(0, max_logged_value)}});
+        return;
+    }
+    if (rate != m_rate_limit) {
+        set_rate_limit(rate);
+    }
+}
+
+void target_task::set_rate_limit(std::optional<double> rate)
+{
+    m_rate_limit = rate;
+    log_event(event::target_rate_limited, {{"rate", rate ? std::to_string(*rate) : "none"}});
+    m_on_output(target_rate_limited{rate});
+}
+
+void target_task::on_run_event(std::uint64_t generation, http_client_event&& event)
 {
     if (auto* const http_response = std::get_if<http_answer>(&event)) {
+        if (generation == m_generation) {
+            read_rate_limit(http_response->m_headers);
+        }
         answer response;
         response.m_status = http_response->m_status;
         response.m_headers = std::move(http_response->m_headers);
--- a/src/node/target_task_base.h
+++ b/src/node/target_task_base.h
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 namespace waxwing {
@@ -64,7 +65,9 @@
     const target_announcement& target() const { return m_target; }
 
 private:
-    void on_run_event(http_client_event&& event);
+    void on_run_event(std::uint64_t generation, http_client_event&& event);
+    void read_rate_limit(const header_list& headers);
+    void set_rate_limit(std::optional<double> rate);
     void on_probe_event(http_client_event&& event);
     void begin_incarnation(const target_announcement& announcement);
     void start_client();
@@ -88,6 +91,9 @@
     std::string m_load_path;
     std::unique_ptr<http_client> m_client;               ///< For calls.
     std::vector<std::unique_ptr<http_client>> m_retired; ///< Of earlier incarnations, with calls in progress.
+    std::uint64_t m_generation = 0; ///< Number of m_client, to tell answers of an earlier incarnation.
+    std::optional<double>
+        m_rate_limit; ///< Requests a second that the target takes; none if it names no limit.
     connect_probe m_connect_probe;
     std::unique_ptr<http_client> m_probe_client; ///< For probes, so that they never queue behind calls.
     std::uint64_t m_last_probe = 0;
--- a/src/node/task_message_type.h
+++ b/src/node/task_message_type.h
@@ -8,6 +8,7 @@
 #include "member/member.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -65,15 +66,20 @@
     std::uint32_t m_slots = 1; ///< The limit.
 };
 
+/** To the call task: the target names how many requests it takes, or no longer does. */
+struct target_rate_limited {
+    std::optional<double> m_rate; ///< Requests a second; none if it takes any number.
+};
+
 /** To the call task: quarantine records from a peer. */
 struct quarantine_received {
     std::vector<quarantine_record> m_records; ///< The records.
 };
 
 /** Commands to the call task. */
-using call_command =
-    std::variant<calls_configure, calls_put_target, calls_remove_target, calls_set_target, calls_gate,
-                 run_answered, run_failed, probe_ended, limit_hinted, quarantine_received, link_event>;
+using call_command = std::variant<calls_configure, calls_put_target, calls_remove_target, calls_set_target,
+                                  calls_gate, run_answered, run_failed, probe_ended, limit_hinted,
+                                  target_rate_limited, quarantine_received, link_event>;
 
 /** From the call task: send a message to another node. */
 struct peer_send {
@@ -94,8 +100,8 @@
 };
 
 /** Output of the target task to the node. */
-using target_output =
-    std::variant<target_changed, calls_gate, run_answered, run_failed, probe_ended, limit_hinted>;
+using target_output = std::variant<target_changed, calls_gate, run_answered, run_failed, probe_ended,
+                                   limit_hinted, target_rate_limited>;
 
 /** From the control task: another node has joined, changed or left. */
 struct peer_changed {
--- a/src/policy/admission_base.h
+++ b/src/policy/admission_base.h
@@ -5,6 +5,7 @@
 #include "policy/settings_type.h"
 
 #include <memory>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -82,6 +83,10 @@
      */
     void hint(instant now, std::uint32_t slots);
 
+    /** Starts no more than @p rate calls a second, as the target asks; none ends the limit. Calls in progress
+     * continue. */
+    void limit_starts(instant now, std::optional<double> rate, std::vector<admission_action>& actions);
+
     /** Refuses all waiting calls by @p reason, and all new ones until reopen; running calls continue. */
     void close(rule reason, std::vector<admission_action>& actions);
 
--- a/src/policy/caller_share.cpp
+++ b/src/policy/caller_share.cpp
@@ -2,6 +2,7 @@
 #include "policy/caller_share_base.h"
 
 #include "policy/number_func.h"
+#include "policy/rate_limiter_base.h"
 
 #include <array>
 #include <unordered_map>
@@ -26,37 +27,6 @@
 constexpr int rank_buckets = 192;     ///< Buckets of the histogram; they span 48 octaves.
 constexpr unsigned cohort_count = 256;
 
-/** Returns the time between requests at @p rate a second, to the nearest nanosecond and at least one. */
-duration request_interval(double rate)
-{
-    constexpr double second = 1.0e9;
-    return duration(std::max<duration::rep>(std::llround(second / rate), 1));
-}
-
-/** A rate limiter by the generic cell rate algorithm; its whole state is one instant. */
-class rate_limiter {
-public:
-    /**
-     * Returns the time after @p now at which one more request conforms to @p rate a second and @p burst at
-     * once; zero if it conforms now.
-     */
-    duration wait(instant now, double rate, double burst) const
-    {
-        const duration slack = from_seconds(to_seconds(request_interval(rate)) * (burst - 1.0));
-        return elapsed(add_saturating(now, slack), m_next_at);
-    }
-
-    /** Counts one request. @pre It conforms. */
-    void consume(instant now, double rate)
-    {
-        m_next_at = add_saturating(std::max(m_next_at, now), request_interval(rate));
-    }
-
-private:
-    /** Theoretical arrival time of the next request at the sustained rate. */
-    instant m_next_at = instant::min();
-};
-
 /** The limits and state of one caller or bucket. */
 struct caller_entry {
     double m_rate = min_rate;     ///< Sustained requests a second.
--- a/test/policy_admission_test.cpp
+++ b/test/policy_admission_test.cpp
@@ -507,3 +507,113 @@
     now += std::chrono::seconds(6);
     cr_assert(control.report(now).m_limit > 10, "a target that gets no calls is tried again");
 }
+
+namespace {
+
+/** Offers @p offers_per_second calls, each of which runs for 90 ms, for ten seconds. @return the starts. */
+std::vector<instant> starts_of(admission& control, std::uint64_t offers_per_second)
+{
+    constexpr duration run_time = std::chrono::milliseconds(90);
+    std::vector<admission_action> actions;
+    std::multimap<instant, attempt_id> ends;
+    std::vector<instant> starts;
+    std::uint64_t attempt = 0;
+    for (instant now = start_time; now < start_time + std::chrono::seconds(10);
+         now += std::chrono::milliseconds(1)) {
+        for (; !ends.empty() && ends.begin()->first <= now; ends.erase(ends.begin())) {
+            control.finish(now, ends.begin()->second, run_time, run_end::succeeded, actions);
+        }
+        const auto milliseconds = static_cast<std::uint64_t>(to_milliseconds(now - start_time));
+        while (attempt * 1000 < offers_per_second * milliseconds) {
+            ++attempt;
+            control.offer(now, make_request(attempt, 128, static_cast<std::uint8_t>(attempt * 37)), actions);
+        }
+        if (control.next_tick() <= now) {
+            control.tick(now, actions);
+        }
+        for (const admission_action& action : std::exchange(actions, {})) {
+            if (const auto* const started = std::get_if<admission_start>(&action)) {
+                starts.push_back(now);
+                ends.emplace(now + run_time, started->m_attempt);
+            }
+        }
+    }
+    return starts;
+}
+
+/** Returns the greatest number of @p starts in four seconds. */
+std::size_t most_in_four_seconds(const std::vector<instant>& starts)
+{
+    std::size_t most = 0;
+    std::size_t first = 0;
+    for (std::size_t last = 0; last < starts.size(); ++last) {
+        for (; starts[last] - starts[first] >= std::chrono::seconds(4); ++first) {
+        }
+        most = std::max(most, last - first + 1);
+    }
+    return most;
+}
+
+} // namespace
+
+/** A target with 139 slots names 33.2 calls a second and is sent 200. */
+Test(admission, a_target_gets_no_more_calls_than_the_rate_that_it_names)
+{
+    admission control(make_settings(139));
+    std::vector<admission_action> actions;
+    control.limit_starts(start_time, 33.2, actions);
+    const std::vector<instant> starts = starts_of(control, 200);
+    cr_assert(most_in_four_seconds(starts) <= 204, "33.2 a second, by one and a half, and 5");
+    cr_assert(starts.size() >= 300, "%zu starts do not use the rate", starts.size());
+}
+
+/** Peers must not send a limited target what its slots could hold. */
+Test(admission, a_target_that_names_a_rate_reports_the_calls_that_it_can_hold_at_that_rate)
+{
+    admission control(make_settings(139));
+    std::vector<admission_action> actions;
+    control.limit_starts(start_time, 40.0, actions);
+    starts_of(control, 100);
+    const instant now = start_time + std::chrono::seconds(10);
+    cr_assert(control.report(now).m_limit <= 5);
+    control.limit_starts(now, std::nullopt, actions);
+    cr_assert(control.report(now).m_limit > 100);
+}
+
+/** Only an answer of the target can lift its limit, so it must get a call now and then. */
+Test(admission, a_target_that_takes_no_calls_is_asked_again)
+{
+    admission control(make_settings(139));
+    std::vector<admission_action> actions;
+    control.limit_starts(start_time, 0.0, actions);
+    const std::vector<instant> starts = starts_of(control, 20);
+    cr_assert(starts.size() >= 4 && most_in_four_seconds(starts) <= 5);
+}
+
+Test(admission, calls_start_at_once_when_the_target_no_longer_names_a_rate)
+{
+    admission control(make_settings(139));
+    std::vector<admission_action> actions;
+    control.limit_starts(start_time, 10.0, actions);
+    for (std::uint64_t attempt = 1; attempt <= 4; ++attempt) {
+        control.offer(start_time, make_request(attempt, 200), actions);
+    }
+    actions.clear();
+    control.limit_starts(start_time + std::chrono::milliseconds(1), std::nullopt, actions);
+    cr_assert(actions.size() >= 2 && control.report(start_time).m_queued == 0);
+}
+
+/** What can't start within the longest time in queue may find room at another target. */
+Test(admission, calls_beyond_the_rate_of_a_target_are_sent_elsewhere_at_once)
+{
+    admission control(make_settings(139));
+    std::vector<admission_action> actions;
+    control.limit_starts(start_time, 10.0, actions);
+    for (std::uint64_t attempt = 1; attempt <= 10; ++attempt) {
+        control.offer(start_time, make_request(attempt, 200), actions);
+    }
+    const auto refused = std::count_if(actions.begin(), actions.end(), [](const admission_action& action) {
+        return refusal_rule(action) == rule::overloaded;
+    });
+    cr_assert(refused >= 5, "%td of 10 calls were refused", refused);
+}
