Fix: a target that said in its answers that it leaves still got new work

Cause: the header was not read. Class: as with the rate limit, a statement of the target that the node beside it ignored. Ruled out by the test: a late announcement "ready" of the same incarnation revoking the drain.

Change: an answer of the current incarnation with the header drains the target at once; waiting calls go elsewhere. W307 tells of it.

Measured: the new test a_target_that_says_in_an_answer_that_it_leaves_gets_no_new_work failed without the change (drain not started) and passes with it.

--- a/src/events/event_type.h
+++ b/src/events/event_type.h
@@ -24,6 +24,7 @@
     load_probe_failed,
     target_rate_limited,
     rate_limit_ignored,
+    target_leaving,
     drain_started,
     drain_finished,
     drain_overrun,
--- a/src/events/table/events.h
+++ b/src/events/table/events.h
@@ -56,6 +56,8 @@
      "The target names how many requests a second it takes from all nodes together, or none any more."},
     {306, severity::warning, "rate-limit-ignored", "value",
      "The target names a rate that is not a decimal number; the last limit stays in force."},
+    {307, severity::info, "target-leaving", "instance",
+     "The target says in an answer that it leaves; it gets no new work from then on."},
     {310, severity::info, "drain-started", "in_progress",
      "The target is being drained and accepts no new work."},
     {311, severity::info, "drain-finished", "", "The target has finished its work in progress."},
--- a/src/node/target_task.cpp
+++ b/src/node/target_task.cpp
@@ -213,11 +213,23 @@
     m_on_output(target_rate_limited{rate});
 }
 
+/** Drains the target if it says in an answer with @p headers that it leaves. */
+void target_task::read_leaving(const header_list& headers)
+{
+    const std::string* const text =
+        m_dialect.m_leaving.empty() ? nullptr : find_header(headers, m_dialect.m_leaving);
+    if (text != nullptr && *text == "1" && state() == target_state::ready) {
+        log_event(event::target_leaving, {{"instance", m_target.m_instance}});
+        raise("drain");
+    }
+}
+
 void target_task::on_run_event(std::uint64_t generation, http_client_event&& event)
 {
     if (auto* const http_response = std::get_if<http_answer>(&event)) {
         if (generation == m_generation) {
             read_rate_limit(http_response->m_headers);
+            read_leaving(http_response->m_headers);
         }
         answer response;
         response.m_status = http_response->m_status;
--- a/src/node/target_task_base.h
+++ b/src/node/target_task_base.h
@@ -67,6 +67,7 @@
 private:
     void on_run_event(std::uint64_t generation, http_client_event&& event);
     void read_rate_limit(const header_list& headers);
+    void read_leaving(const header_list& headers);
     void set_rate_limit(std::optional<double> rate);
     void on_probe_event(http_client_event&& event);
     void begin_incarnation(const target_announcement& announcement);
--- a/test/target_task_test.cpp
+++ b/test/target_task_test.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-constexpr request_dialect dialect{"Time", "Id", "Origin", "Instance", "Not-Run", 421, true, false, "Limit"};
+constexpr request_dialect dialect{"Time", "Id", "Origin", "Instance", "Not-Run",
+                                  421,    true, false,    "Limit",    "Leaving"};
 
 /** Reads the chart of the target. */
 chart target_chart()
@@ -147,3 +148,31 @@
     fixture.answer({{"Limit", "3"}});
     cr_assert(fixture.rate() == std::nullopt, "the answer came from the incarnation before");
 }
+
+/** The announcement that a server leaves may come seconds late; its answers say so before. */
+Test(target_task, a_target_that_says_in_an_answer_that_it_leaves_gets_no_new_work)
+{
+    target_fixture fixture;
+    fixture.send();
+    fixture.answer({{"Leaving", "0"}});
+    cr_assert(fixture.m_task.state() == target_state::ready);
+    fixture.send();
+    fixture.answer({{"leaving", "1"}});
+    cr_assert(fixture.m_task.state() == target_state::draining);
+    const auto* const gate = fixture.last<calls_gate>();
+    cr_assert(gate != nullptr && !gate->m_open && gate->m_why == rule::draining);
+    fixture.announce(1, 2);
+    cr_assert(fixture.m_task.state() == target_state::draining, "a late announcement revokes nothing");
+    fixture.announce(2);
+    cr_assert(fixture.m_task.state() == target_state::ready, "a new incarnation serves");
+}
+
+/** An answer of the incarnation before says nothing about the new one. */
+Test(target_task, a_restarted_target_is_not_drained_by_an_answer_from_before)
+{
+    target_fixture fixture;
+    fixture.send();
+    fixture.announce(2);
+    fixture.answer({{"Leaving", "1"}});
+    cr_assert(fixture.m_task.state() == target_state::ready);
+}
