Fix: a late copy of a refusal could be taken for the answer to the request sent again

What callers could see: "not run, try again" for a request that a server runs, so that it runs at a second server. A faulty server writes an earlier refusal once more; if the same request is sent again on that connection, the copy has the id of the answer that is due.

Cause: a connection remembered the last 16 requests only. Ruled out: copies under the id of another request (skipped, an_answer_to_an_earlier_request_is_ignored), copies without an id (a lost answer, not a refusal), copies on an idle connection (it is closed).

Measured: a_copy_of_an_earlier_refusal_is_not_taken_for_the_answer_to_the_request_sent_again sends 200 other requests in between; before, the request went over the connection that had carried it (1 connection), after, over a new one.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -22,8 +22,7 @@
 constexpr std::size_t unparsed_limit = header_limit;
 /** Most interim answers, and answers to earlier requests, before the answer to a request. */
 constexpr unsigned skipped_limit = 64;
-constexpr std::size_t max_echo_ids = 16;     ///< Identifiers remembered, more than a request has attempts.
-constexpr unsigned first_final_status = 200; ///< Status codes below are interim (1xx).
+constexpr unsigned first_final_status = 200;               ///< Status codes below are interim (1xx).
 constexpr std::string_view timeout_parameter = "timeout="; ///< Parameter of the Keep-Alive header.
 
 /** Returns the idle time-out in the value of a Keep-Alive header, if it has one. */
@@ -50,10 +49,10 @@
 
 } // namespace
 
-client_connection::client_connection(event_loop& loop, const endpoint& address, std::size_t body_limit,
-                                     handlers callbacks)
-    : m_loop(loop), m_address(address), m_body_limit(body_limit), m_callbacks(std::move(callbacks)),
-      m_watcher(loop, [this](int events) { on_ready(events); }),
+client_connection::client_connection(event_loop& loop, std::uint64_t number, const endpoint& address,
+                                     std::size_t body_limit, handlers callbacks)
+    : m_loop(loop), m_number(number), m_address(address), m_body_limit(body_limit),
+      m_callbacks(std::move(callbacks)), m_watcher(loop, [this](int events) { on_ready(events); }),
       m_failure_wakeup(loop, [this] { close_with_error(m_failure); })
 {
     result<descriptor> socket = start_connect(address, socket_use::http);
@@ -76,10 +75,6 @@
     if (echoed != nullptr) {
         m_request->m_echo_name = request.m_echoed_header;
         m_request->m_echo_value = *echoed;
-        m_echo_ids.push_back(*echoed);
-        if (m_echo_ids.size() > max_echo_ids) {
-            m_echo_ids.pop_front();
-        }
     }
     write_request(request);
     m_sent = 0;
@@ -89,11 +84,6 @@
     update_watcher();
 }
 
-bool client_connection::has_carried(const std::string& echo_value) const
-{
-    return std::find(m_echo_ids.begin(), m_echo_ids.end(), echo_value) != m_echo_ids.end();
-}
-
 void client_connection::write_request(const http_send& request)
 {
     m_output = request.m_method + " " + request.m_path + " HTTP/1.1\r\n";
--- a/src/http/client_connection_base.h
+++ b/src/http/client_connection_base.h
@@ -7,7 +7,6 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
-#include <deque>
 #include <optional>
 
 namespace waxwing {
@@ -45,8 +44,9 @@
         std::function<void(std::size_t before, std::size_t now)> m_on_held;
     };
 
-    /** Starts to connect to @p address. */
-    client_connection(event_loop& loop, const endpoint& address, std::size_t body_limit, handlers callbacks);
+    /** Starts to connect to @p address. @param number is unique among the connections of the client. */
+    client_connection(event_loop& loop, std::uint64_t number, const endpoint& address, std::size_t body_limit,
+                      handlers callbacks);
 
     /** Sends @p request once the connection is established. @pre No exchange is in progress. */
     void send(const http_send& request);
@@ -57,10 +57,7 @@
     /** Returns whether the connection is established and has no exchange in progress. */
     bool is_reusable() const { return m_phase == phase::ready && !m_request; }
 
-    /** Returns whether the connection has recently carried a request that is identified by @p echo_value. The
-     * server may send a second copy of its answer, which can't be told from the answer to the same request
-     * sent again. */
-    bool has_carried(const std::string& echo_value) const;
+    std::uint64_t number() const { return m_number; }
 
     /** Returns the bytes held of an unfinished answer. */
     std::size_t held() const { return m_held; }
@@ -98,6 +95,7 @@
     void update_held();
 
     event_loop& m_loop;
+    std::uint64_t m_number; ///< Unique among the connections of the client.
     endpoint m_address;
     std::size_t m_body_limit;
     handlers m_callbacks;
@@ -108,8 +106,7 @@
     std::string m_input;            ///< Bytes received and not yet parsed.
     std::optional<parser> m_parser; ///< Parses the answer.
     std::optional<open_exchange> m_request;
-    std::size_t m_held = 0;             ///< Last value passed to m_on_held.
-    std::deque<std::string> m_echo_ids; ///< Identifiers of the last requests, oldest first.
+    std::size_t m_held = 0; ///< Last value passed to m_on_held.
     instant m_idle_since{};
     duration m_server_idle_timeout = duration::max();
     int m_watched_events = 0;
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -1,4 +1,5 @@
 /** @file http_client.cpp The HTTP client task: its connections and the queue of requests. */
+#include "http/carried_ids_base.h"
 #include "http/client_connection_base.h"
 #include "http/connection_set_base.h"
 
@@ -72,22 +73,30 @@
             add_deadline(pending.m_connect_deadline, pending.m_request.m_exchange);
         }
         pending.m_connection = connection;
+        if (const std::string* const id = echoed_id(pending.m_request)) {
+            m_carried.add(*id, connection->number());
+        }
         connection->send(pending.m_request);
         return true;
     }
 
+    /** Returns the identifier that the answer to @p request repeats; null if it has none. */
+    static const std::string* echoed_id(const http_send& request)
+    {
+        return request.m_echoed_header.empty() ? nullptr
+                                               : find_header(request.m_headers, request.m_echoed_header);
+    }
+
     /** Takes the most recently used idle connection that suits @p request; null where there is none. */
     client_connection* find_idle(const http_send& request)
     {
         const instant now = event_loop::now();
-        const std::string* const id = request.m_echoed_header.empty()
-                                          ? nullptr
-                                          : find_header(request.m_headers, request.m_echoed_header);
+        const std::string* const id = echoed_id(request);
         for (auto position = m_idle.rbegin(); position != m_idle.rend(); ++position) {
             client_connection* const candidate = *position;
             const duration idle = now - candidate->idle_since();
             const bool fresh = request.m_idempotent || idle <= fresh_window;
-            const bool is_resend = id != nullptr && candidate->has_carried(*id);
+            const bool is_resend = id != nullptr && m_carried.contains(*id, candidate->number());
             if (candidate->address() == request.m_address && fresh && !is_resend &&
                 idle < reuse_timeout(*candidate)) {
                 m_idle.erase(std::next(position).base());
@@ -120,8 +129,8 @@
                 give_up_longest();
             }
         };
-        return m_connections.add(std::make_unique<client_connection>(m_loop, address, m_settings.m_body_limit,
-                                                                     std::move(callbacks)));
+        return m_connections.add(std::make_unique<client_connection>(
+            m_loop, ++m_last_connection, address, m_settings.m_body_limit, std::move(callbacks)));
     }
 
     /** Closes the connection that has been idle longest. @return false where none is idle. */
@@ -292,6 +301,8 @@
     http_client_settings m_settings;
     mailbox<http_client_event> m_events;
     connection_set<client_connection> m_connections;
+    carried_ids m_carried;                 ///< Requests that each connection has carried.
+    std::uint64_t m_last_connection = 0;   ///< Number of the connection opened last.
     std::size_t m_held = 0;                ///< Bytes held of all unfinished answers.
     std::deque<client_connection*> m_idle; ///< Idle longest first.
     std::unordered_map<exchange_id, pending_request> m_pending;
--- a/test/http_wire_test.cpp
+++ b/test/http_wire_test.cpp
@@ -469,6 +469,43 @@
     cr_assert(statuses[0] == 503 && statuses[1] == 200);
 }
 
+/** As above, but the connection carries so many other requests in between that it can't remember them all,
+ * and the copy comes only then. */
+Test(wire, a_copy_of_an_earlier_refusal_is_not_taken_for_the_answer_to_the_request_sent_again)
+{
+    constexpr std::size_t others = 200;
+    guarded_loop guarded;
+    const std::string refusal = "HTTP/1.1 503 Busy\r\nId: 1\r\nContent-Length: 0\r\n\r\n";
+    std::deque<std::string> answers{refusal};
+    for (std::size_t count = 0; count < others; ++count) {
+        answers.push_back(answer_to(std::to_string(count + 2).c_str(), "other"));
+    }
+    answers.push_back(answer_to("1", "done"));
+    raw_server server(guarded.m_loop, std::move(answers));
+    std::vector<std::uint16_t> statuses;
+    std::unique_ptr<http_client> client;
+    const auto send = [&] {
+        const std::size_t number = statuses.size() + 1;
+        client->send({exchange_id{number},
+                      server.address(),
+                      "POST",
+                      "/",
+                      {{"Id", number == others + 2 ? "1" : std::to_string(number)}},
+                      "",
+                      test_timeout,
+                      "Id",
+                      true});
+    };
+    client = http_client::make(guarded.m_loop, {}, [&](http_client_event&& event) {
+        statuses.push_back(std::get<http_answer>(event).m_status);
+        statuses.size() == others + 2 ? guarded.m_loop.stop() : send();
+    });
+    send();
+    guarded.m_loop.run();
+    cr_assert(server.m_connections == 2, "the request was sent again on the connection that had carried it");
+    cr_assert(statuses.back() == 200);
+}
+
 /** A planned stop waits for in_progress: a reply that the client has not read yet must count. */
 Test(wire, a_reply_counts_as_in_progress_until_it_was_sent)
 {
