Add: a test of answers that end in their head

Another operator's clients got a 200 with an empty body when a server closed in the middle of its answer's head. Here it can't happen: the test cuts three heads (with a length, in chunks, and without either) after each of their bytes, and each cut answer counts as lost. No code changed.

--- a/test/http_wire_test.cpp
+++ b/test/http_wire_test.cpp
@@ -234,6 +234,23 @@
     }
 }
 
+/** A server stops in the middle of its answer's head and closes; callers must not get a whole empty answer.
+ */
+Test(wire, an_answer_that_ends_in_its_head_is_reported_as_lost)
+{
+    for (const std::string& head :
+         {std::string("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\nServer-Signature: x\r\n\r\n"),
+          std::string("HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n"),
+          std::string("HTTP/1.1 200 OK\r\nServer-Signature: x\r\nId: 1\r\n\r\n")}) {
+        for (std::size_t length = 1; length < head.size(); ++length) {
+            guarded_loop guarded;
+            raw_server server(guarded.m_loop, {head.substr(0, length) + "!"});
+            const auto events = exchange(server, guarded, 1);
+            cr_assert(is_lost(events[0]), "%zu bytes of %s", length, head.c_str());
+        }
+    }
+}
+
 Test(wire, an_answer_before_the_whole_request_was_sent_prevents_reuse)
 {
     guarded_loop guarded;
