--- a/test/gossip_codec_test.cpp
+++ b/test/gossip_codec_test.cpp
@@ -91,6 +91,27 @@
     cr_assert(decode_gossip("\x9b\x7f" + std::string(7, '\xff')).has_error());
 }
 
+/** Rows that another writer left name no member, and reading them must not end the process. */
+Test(gossip_codec, rejects_rows_of_other_writers)
+{
+    const std::string good = encode_row(sample_record());
+    const auto with = [&good](const std::string& from, const std::string& to) {
+        std::string row = good;
+        return row.replace(row.find(from), from.size(), to);
+    };
+    for (const std::string& row :
+         {with("7401", "74010"), with("7401", "-1"), with("7401", "1e400"),
+          with("7401", "99999999999999999999"),
+          with("7401", "[" + std::string(400, '[') + std::string(400, ']') + "]"),
+          with("102.103:7400", "102.103:74000"), with("102.103:7400", "102.103:0"), with("160", "1e99"),
+          with("160", "null"), with("7401", "{}"),
+          std::string("{\"a\":") + std::string(500, '[') + std::string(500, ']') + "}",
+          std::string(1'000'000, '['), std::string("\xff\xfe\x00", 3), std::string()}) {
+        cr_assert(decode_row(row).has_error(), "%.80s", row.c_str());
+    }
+    cr_assert(decode_row(good).has_value());
+}
+
 Test(gossip_codec, handles_corrupted_bytes)
 {
     const std::string valid_bytes = encode_gossip(full_message());
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -92,7 +92,7 @@
 
 Test(registry, rejects_invalid_announcements)
 {
-    const auto body = [](const char* address, const char* info, const char* status, const char* more) {
+    const auto body = [](const char* address, const char* info, const char* status, const std::string& more) {
         return std::string("{\"address\":") + address + ",\"info\":" + info + ",\"status\":" + status + more +
                "}";
     };
@@ -102,6 +102,13 @@
     cr_assert(read_announcement("PUT", "/instances/i", body(address, info, status, "")).has_value());
     for (const std::string& invalid_body :
          {std::string("{"), body("7", info, status, ""), body("\"x\"", info, status, ""),
+          body("\"10.0.0.9:0\"", info, status, ""), body("\"10.0.0.9:65536\"", info, status, ""),
+          body("\"10.0.0.9:-1\"", info, status, ""),
+          body(address, R"({"service":"a1","slots":1e400})", status, ""),
+          body(address, R"({"service":"a1","slots":99999999999999999999})", status, ""),
+          body(address, info, R"({"state":"ready","sequence":1e400})", ""),
+          body(address, info, status, ",\"more\":" + std::string(500'000, '[') + std::string(500'000, ']')) +
+              "x",
           body(address, "{}", status, ""), body(address, R"({"service":"a1","slots":-1})", status, ""),
           body(address, R"({"service":7,"slots":1})", status, ""), body(address, info, "[]", ""),
           body(address, info, R"({"state":"odd","sequence":4})", ""),
@@ -110,6 +117,11 @@
         cr_assert(read_announcement("PUT", "/instances/i", invalid_body).has_error(), "%s",
                   invalid_body.c_str());
     }
+    const std::string nested = std::string(500'000, '[') + std::string(500'000, ']');
+    cr_assert(read_announcement("PUT", "/instances/i", nested).has_error());
+    cr_assert(read_announcement("PUT", "/instances/i", body(address, info, status, ",\"new\":" + nested))
+                  .has_value(),
+              "a field that is not known is ignored");
     cr_assert(read_announcement("POST", "/instances/i", "{}").has_error());
     cr_assert(read_announcement("PUT", "/instances/", "{}").has_error());
 }
