Fix: a dialect without the newest headers did not compile with all warnings

What was seen: entry_test did not compile ("missing initializer for member m_rate_limit"), as it lists the members of a dialect up to the last one that it needs.

Cause: the two new members had no initial value of their own. Change: they are empty.

--- a/src/call/dialect_type.h
+++ b/src/call/dialect_type.h
@@ -21,9 +21,9 @@
     std::uint16_t m_wrong_instance = 0;    ///< Status of an instance that is not the one named; 0 if none.
     bool m_fractional_retry_after = false; ///< Whether Retry-After may contain fractions of a second.
     bool m_adds_own_headers = true;        ///< Whether waxwinghub adds its own headers.
-    std::string_view m_rate_limit; ///< Answer of a target: requests a second that it takes from all callers,
-                                   ///< a decimal number, until an answer lacks it.
-    std::string_view m_leaving;    ///< Answer of a target: "1" if the target leaves and takes no new work.
+    std::string_view m_rate_limit = {};    ///< Answer of a target: requests a second that it takes from all
+                                        ///< callers, a decimal number, until an answer lacks it.
+    std::string_view m_leaving = {}; ///< Answer of a target: "1" if the target leaves and takes no new work.
 };
 
 /** Returns the request id in @p headers; empty if there is none. */
