--- a/src/call/dialect_type.h
+++ b/src/call/dialect_type.h
@@ -22,7 +22,7 @@
     bool m_fractional_retry_after = false; ///< Whether Retry-After may contain fractions of a second.
     bool m_adds_own_headers = true;        ///< Whether waxwinghub adds its own headers.
     std::string_view m_rate_limit = {};    ///< Answer of a target: requests a second that it takes from all
-                                        ///< callers, a decimal number, until an answer lacks it.
+                                           ///< callers, a decimal number, until an answer lacks it.
     std::string_view m_leaving = {}; ///< Answer of a target: "1" if the target leaves and takes no new work.
 };
 
