--- a/src/policy/admission.cpp
+++ b/src/policy/admission.cpp
@@ -5,9 +5,9 @@
 #include "policy/limit_base.h"
 #include "policy/number_func.h"
 #include "policy/queue_base.h"
-#include "policy/rate_limiter_base.h"
 #include "policy/run_estimate_base.h"
 #include "policy/shed_base.h"
+#include "policy/start_rate_base.h"
 
 namespace waxwing {
 
@@ -24,13 +24,6 @@
 /** Retry hint after other refusals that may be retried. */
 constexpr duration busy_retry_delay = std::chrono::milliseconds(300);
 
-/** A target that names a lower rate gets calls at this rate, in calls a second, as only its next answer can
- * lift the limit. */
-constexpr double min_start_rate = 0.5;
-constexpr double max_start_rate = 1.0e6; ///< Higher rates count as this.
-/** Time for which starts may be saved up, so that calls that arrive unevenly use the whole rate. */
-constexpr double burst_seconds = 0.1;
-
 /** Time for a refusal to reach the target that made the sub-call. */
 constexpr duration refusal_delivery_time = std::chrono::milliseconds(10);
 
@@ -65,10 +58,8 @@
     /** Start of the barrier: other starts are blocked in favour of an exclusive call. */
     std::optional<instant> m_barrier_since;
     instant m_next_barrier_at = instant::min(); ///< No barrier is raised before.
-    std::optional<double> m_start_rate;        ///< Starts a second that the target allows; none if unlimited.
-    rate_limiter m_start_limiter;              ///< Limits the starts to m_start_rate.
-    instant m_rate_allows_at = instant::max(); ///< When the rate allows the next waiting call to start.
-    double m_mean_slot_seconds = 0.0;          ///< Mean time that a call holds its slot; zero if unknown.
+    start_rate m_start_rate;                    ///< Limits the starts to the rate that the target names.
+    instant m_rate_allows_at = instant::max();  ///< When the rate allows the next waiting call to start.
 
     /** Refuses @p call by @p reason. @pre It does not wait. */
     void refuse(call_entry& call, rule reason, std::vector<admission_action>& actions);
@@ -88,34 +79,14 @@
     /** Returns whether @p request, started now, could still end by its deadline. */
     bool can_finish(instant now, const admission_request& request) const;
 
-    /** Returns how long the target's rate keeps the next call from starting; zero if it may start at @p now.
-     */
-    duration rate_wait(instant now) const
-    {
-        const double burst = std::max(1.0, m_start_rate.value_or(1.0) * burst_seconds);
-        return m_start_rate ? m_start_limiter.wait(now, *m_start_rate, burst) : duration::zero();
-    }
-
     /** Returns how many calls may wait: no more than the target's rate allows to start within the longest
      * time in queue, so that others are sent to another target at once. */
     std::size_t queue_capacity() const
     {
         const std::size_t capacity = std::min(m_settings.m_queue_capacity, max_queue_capacity);
-        if (!m_start_rate) {
-            return capacity;
-        }
-        const double startable =
-            *m_start_rate * to_seconds(std::max(m_settings.m_queue_timeout, duration::zero()));
-        return std::min(capacity, static_cast<std::size_t>(std::max(startable, 1.0)));
-    }
-
-    /** Records that a call has held its slot for @p slot_duration. */
-    void record_slot_duration(duration slot_duration)
-    {
-        constexpr double weight = 0.05;
-        const double seconds = to_seconds(slot_duration);
-        m_mean_slot_seconds +=
-            m_mean_slot_seconds == 0.0 ? seconds : (seconds - m_mean_slot_seconds) * weight;
+        const duration longest = std::max(m_settings.m_queue_timeout, duration::zero());
+        const std::optional<double> startable = m_start_rate.starts_within(longest);
+        return startable ? std::min(capacity, static_cast<std::size_t>(*startable)) : capacity;
     }
 
     /**
@@ -128,10 +99,8 @@
     {
         constexpr double failure_exponent = 4.0;
         const double factor = std::pow(1.0 - m_failure_ratio.value(now), failure_exponent);
-        double limit = m_limit.value(now);
-        if (m_start_rate && m_mean_slot_seconds > 0.0) {
-            limit = std::min(limit, *m_start_rate * m_mean_slot_seconds);
-        }
+        const double slots = m_limit.value(now);
+        const double limit = std::min(slots, m_start_rate.mean_in_progress().value_or(slots));
         return std::max(1U, static_cast<std::uint32_t>(std::lround(limit * factor)));
     }
 
@@ -253,7 +222,7 @@
     const std::uint32_t limit = m_limit.value(now);
     const std::size_t important = m_calls.running() - m_ordinary_running;
     const std::size_t free_usable = std::min<std::size_t>(limit, limit - headroom(limit) + important);
-    const bool is_rate_reached = rate_wait(now) > duration::zero();
+    const bool is_rate_reached = m_start_rate.wait(now) > duration::zero();
     const std::size_t usable =
         is_rate_reached ? std::clamp<std::size_t>(m_calls.running(), 1, free_usable) : free_usable;
     const shed_view view{m_calls.waiting(), m_calls.running(), usable};
@@ -294,7 +263,7 @@
     if (m_exclusive_running) {
         return nullptr;
     }
-    if (const duration wait = rate_wait(now); wait > duration::zero()) {
+    if (const duration wait = m_start_rate.wait(now); wait > duration::zero()) {
         m_rate_allows_at = add_saturating(now, wait);
         return nullptr;
     }
@@ -329,9 +298,7 @@
         m_barrier_since = m_barrier_since.value_or(now);
     }
     m_calls.start(call, now);
-    if (m_start_rate) {
-        m_start_limiter.consume(now, *m_start_rate);
-    }
+    m_start_rate.count_start(now);
     m_ordinary_running += call.m_important ? 0 : 1;
     m_shed_threshold.count_start();
     actions.emplace_back(admission_start{call.m_request.m_attempt});
@@ -393,7 +360,7 @@
     impl.advance(now, actions);
     const duration slot_duration = elapsed(call->m_started_at, now);
     impl.m_limit.record(run_time, slot_duration, end);
-    impl.record_slot_duration(slot_duration);
+    impl.m_start_rate.record_slot_duration(slot_duration);
     if (end == run_end::succeeded) {
         impl.m_run_estimate.record(now, run_time);
     }
@@ -431,15 +398,12 @@
 {
     const state& impl = *m_state;
     const call_entry* first = m_state->m_calls.first_to_expire();
-    instant next = first == nullptr ? instant::max() : first->m_expires_at;
+    instant next = first == nullptr ? instant::max() : std::min(first->m_expires_at, impl.m_rate_allows_at);
     if (impl.m_barrier_since && !impl.m_exclusive_running) {
         next = std::min(next, impl.m_exclusive_waiting == 0
                                   ? *impl.m_barrier_since
                                   : add_saturating(*impl.m_barrier_since, max_barrier_duration));
     }
-    if (first != nullptr) {
-        next = std::min(next, impl.m_rate_allows_at);
-    }
     const bool window_active = first != nullptr || impl.m_shed_threshold.value().m_value > 0;
     return window_active ? std::min(next, impl.m_shed_threshold.window_end()) : next;
 }
@@ -453,10 +417,7 @@
 {
     state& impl = *m_state;
     impl.advance(now, actions);
-    impl.m_start_rate.reset();
-    if (rate) {
-        impl.m_start_rate = clamp_number(*rate, min_start_rate, max_start_rate);
-    }
+    impl.m_start_rate.set(rate);
     impl.dispatch(now, actions);
 }
 
