Fix: a long field in an answer ended the node

Cause: the field table of Boost.Beast throws std::length_error for such a field, while its parser reports all else as error codes. The limit on heads, 256 KiB for answers, let the field through, and nothing catches between the parser and the event loop. The same for requests where the configuration allows heads over 64 KiB, for trailers and for interim answers.

Change: all bytes reach the parsers through put_bytes, which turns the exception into error::header_limit. The client connection reports the answer as lost, the server connection refuses with 431; both close, the rest of the node goes on.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -174,7 +174,7 @@
         boost::beast::error_code parse_error;
         std::size_t consumed = 0;
         if (!m_input.empty()) {
-            consumed = m_parser->put(boost::asio::const_buffer(m_input.data(), m_input.size()), parse_error);
+            consumed = put_bytes(*m_parser, m_input, parse_error);
             m_input.erase(0, consumed);
         }
         if (parse_error && parse_error != beast_http::error::need_more) {
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -105,8 +105,7 @@
             start_parser();
         }
         boost::beast::error_code parse_error;
-        const std::size_t consumed =
-            m_parser->put(boost::asio::const_buffer(m_input.data(), m_input.size()), parse_error);
+        const std::size_t consumed = put_bytes(*m_parser, m_input, parse_error);
         m_input.erase(0, consumed);
         if (parse_error == beast_http::error::need_more) {
             send_continue();
--- a/test/http_wire_test.cpp
+++ b/test/http_wire_test.cpp
@@ -1,5 +1,6 @@
 /** @file http_wire_test.cpp Wire-level tests of the HTTP client and server against raw sockets. */
 #include "http/http.h"
+#include "http/message_func.h"
 #include "test/http_loop.h"
 
 #include <criterion/criterion.h>
@@ -376,6 +377,42 @@
 }
 
 /** All connections to a server get bodies without end at the same time. */
+/** Beast throws where a field exceeds its table of fields; the process ended and all its callers lost their
+ * answers. */
+Test(wire, a_long_field_in_an_answer_ended_the_process)
+{
+    const std::string start = "HTTP/1.1 200 OK\r\nId: 1\r\n";
+    const std::string chunked = start + "Transfer-Encoding: chunked\r\n\r\n0\r\n";
+    const std::string long_text(100'000, 'x');
+    const std::vector<std::string> heads{
+        start + "Long: " + long_text + "\r\n\r\n",                     // A value.
+        start + long_text + ": v\r\n\r\n",                             // A name.
+        "HTTP/1.1 103 Early Hints\r\nLong: " + long_text + "\r\n\r\n", // An interim answer.
+        chunked + "Long: " + long_text + "\r\n\r\n",                   // A trailer.
+    };
+    for (const std::string& head : heads) {
+        guarded_loop guarded;
+        endless_server server(guarded.m_loop, head, "x");
+        const auto events = exchange_at_once(server.address(), guarded, 1);
+        cr_assert(is_lost(events[0]), "%s", head.substr(0, start.size() + 40).c_str());
+    }
+}
+
+Test(wire, a_field_of_an_answer_is_whole_or_the_answer_is_lost)
+{
+    for (std::size_t size = 65'500; size < 65'560; ++size) {
+        guarded_loop guarded;
+        const std::string field = "Long: " + std::string(size, 'x') + "\r\n";
+        raw_server server(guarded.m_loop, {answer_to("1", "body", field)});
+        const auto events = exchange(server, guarded, 1);
+        const auto* const answer = std::get_if<http_answer>(&events[0]);
+        const std::string* const received =
+            answer == nullptr ? nullptr : find_header(answer->m_headers, "Long");
+        cr_assert(answer == nullptr ? is_lost(events[0]) : received != nullptr && received->size() == size,
+                  "%zu", size);
+    }
+}
+
 Test(wire, the_memory_for_all_answers_together_is_bounded)
 {
     guarded_loop guarded;
@@ -422,6 +459,35 @@
     cr_assert(status_of("GET / HTTP/1.1\r\n", std::chrono::milliseconds(20)) == 408);
 }
 
+/** The configuration may allow heads that are longer than a field of the parser may be. */
+Test(wire, a_long_field_in_a_request_ended_the_process)
+{
+    const std::string start = "POST /a HTTP/1.1\r\nHost: h\r\n";
+    const std::string long_text(100'000, 'x');
+    for (const std::string& request :
+         {start + "Long: " + long_text + "\r\n\r\n", start + long_text + ": v\r\n\r\n",
+          start + "Transfer-Encoding: chunked\r\n\r\n0\r\nLong: " + long_text + "\r\n\r\n"}) {
+        guarded_loop guarded;
+        http_server_settings settings;
+        settings.m_address = {"127.0.0.1", 0};
+        settings.m_header_limit = 256 * 1024;
+        auto server = std::move(http_server::open(guarded.m_loop, settings, [](http_server_event&&) {
+                                    cr_assert(false, "the refused request was delivered");
+                                }).value());
+        const descriptor client = std::move(start_connect(server->address(), socket_use::http)).value();
+        std::size_t sent = 0;
+        io_watcher writer(guarded.m_loop, [&](int) {
+            cr_assert(send_remaining(client.get(), request, sent));
+            if (sent == request.size()) {
+                writer.stop();
+            }
+        });
+        writer.watch(client.get(), EV_WRITE);
+        const std::string received = read_until(client, "\r\n\r\n", guarded.m_loop);
+        cr_assert(received.find("HTTP/1.1 431") == 0, "%s", received.c_str());
+    }
+}
+
 /** A client sends a chunk extension without end. */
 Test(wire, a_request_without_end_is_refused)
 {
