Fix: a target that had left was used again after a restart of its node

Cause: departures were kept in the memory of one process, though their acknowledgement binds beyond it. The log of the new process shows target-announced with the departed incarnation. Ruled out: a peer's record about the former process (the new one announces the target itself), and a departure that is not processed during a stop (the former process drained the target).

Change: the node writes the incarnation that drains or leaves to a row of the platform's table before it acknowledges, and a new process reads the row before it passes announcements on. Bounded waits while the table does not respond; the row is written again after a restored store. The same for a server that reported draining, for Server-Leaving, and for a departure that is the first news of its incarnation, which was acknowledged and forgotten.

A start costs one read of the table, a departure one write.

--- a/src/events/event_type.h
+++ b/src/events/event_type.h
@@ -25,6 +25,8 @@
     target_rate_limited,
     rate_limit_ignored,
     target_leaving,
+    departure_restored,
+    departure_unsettled,
     drain_started,
     drain_finished,
     drain_overrun,
--- a/src/events/table/events.h
+++ b/src/events/table/events.h
@@ -58,6 +58,12 @@
      "The target names a rate that is not a decimal number; the last limit stays in force."},
     {307, severity::info, "target-leaving", "instance",
      "The target says in an answer that it leaves; it gets no new work from then on."},
+    {308, severity::info, "departure-restored", "instance",
+     "An earlier process of this node acknowledged that the target leaves; late announcements of it are "
+     "ignored."},
+    {309, severity::warning, "departure-unsettled", "reason",
+     "The departure of a target can't be read from the platform's table or written to it; the node tries "
+     "again."},
     {310, severity::info, "drain-started", "in_progress",
      "The target is being drained and accepts no new work."},
     {311, severity::info, "drain-finished", "", "The target has finished its work in progress."},
--- a/src/member/announcement.cpp
+++ b/src/member/announcement.cpp
@@ -1,10 +1,40 @@
-/** @file announcement.cpp Ordering of the announcements of a target. */
+/** @file announcement.cpp Ordering of the announcements of a target, and the encoding of its departure. */
 #include "member/announcement_type.h"
 
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
+#include <utility>
 
 namespace waxwing {
 
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t max_departure_bytes = 1024;
+
+} // namespace
+
+std::string encode_departure(const target_departure& departure)
+{
+    return json::array({departure.m_instance, departure.m_incarnation.m_value})
+        .dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+result<target_departure> decode_departure(std::string_view value)
+{
+    if (value.size() > max_departure_bytes) {
+        return fail(error_code::invalid, "the departure of a target is longer than 1024 bytes");
+    }
+    const json fields = json::parse(value.begin(), value.end(), nullptr, false);
+    if (!fields.is_array() || fields.size() != 2 || !fields[0].is_string() ||
+        !fields[1].is_number_unsigned()) {
+        return fail(error_code::invalid, "the departure of a target is not an array of an id and a number");
+    }
+    return target_departure{fields[0].get<std::string>(), incarnation{fields[1].get<std::uint64_t>()}};
+}
+
 bool announcement_order::is_current(const target_announcement& announcement) const
 {
     const bool same_incarnation =
@@ -23,17 +53,31 @@
         m_left = leaves;
         return announcement_result::same;
     }
-    const bool older =
-        m_known && announcement.m_incarnation.m_value != 0 && !(m_incarnation < announcement.m_incarnation);
-    if (older || announcement.m_intent == target_intent::leave) {
+    const bool leaves = announcement.m_intent == target_intent::leave;
+    const bool is_dated = announcement.m_incarnation.m_value != 0;
+    const bool older = m_known && is_dated && !(m_incarnation < announcement.m_incarnation);
+    if (older || (leaves && !is_dated)) {
         return announcement_result::stale;
     }
     m_instance = announcement.m_instance;
     m_incarnation = announcement.m_incarnation;
     m_sequence = announcement.m_sequence;
     m_known = true;
-    m_left = false;
-    return announcement_result::new_life;
+    m_left = leaves;
+    return leaves ? announcement_result::left : announcement_result::new_life;
+}
+
+bool announcement_order::restore(const target_departure& restored)
+{
+    const bool is_undated = m_known && m_incarnation.m_value == 0;
+    const bool is_older = m_known && !(m_incarnation < restored.m_incarnation);
+    if (is_undated || (is_older && restored != departure())) {
+        return false;
+    }
+    m_instance = restored.m_instance;
+    m_incarnation = restored.m_incarnation;
+    m_left = true;
+    return std::exchange(m_known, true);
 }
 
 } // namespace waxwing
--- a/src/member/announcement_type.h
+++ b/src/member/announcement_type.h
@@ -6,6 +6,7 @@
 #include "base/base.h"
 
 #include <string>
+#include <string_view>
 
 namespace waxwing {
 
@@ -29,11 +30,28 @@
     duration m_warm_up_remaining{};                ///< Remaining time for which it is slow after its start.
 };
 
+/** The incarnation of a target that drains or has left. It gets no new work any more. */
+struct target_departure {
+    std::string m_instance;    ///< Id of the process.
+    incarnation m_incarnation; ///< Its start time; zero if it was not announced.
+
+    friend bool operator==(const target_departure&, const target_departure&) = default;
+};
+
+/** Encodes @p departure for the platform's table. Thread safety: pure. */
+std::string encode_departure(const target_departure& departure);
+
+/** Decodes @p value. Safe on untrusted input. Thread safety: pure. @return the departure or why it is
+ * invalid.
+ */
+result<target_departure> decode_departure(std::string_view value);
+
 /** How an announcement relates to the earlier ones. */
 enum class announcement_result {
-    stale,   ///< Superseded by an earlier received one, or its incarnation has left.
-    same,    ///< A newer announcement of the known incarnation.
-    new_life ///< The target has restarted.
+    stale,    ///< Superseded by an earlier received one, or its incarnation has left.
+    same,     ///< A newer announcement of the known incarnation.
+    new_life, ///< The target has restarted.
+    left      ///< An incarnation that was not known has left; it supersedes the known one.
 };
 
 /**
@@ -46,9 +64,16 @@
     /** Records @p announcement. @return how it relates to the earlier announcements. */
     announcement_result take(const target_announcement& announcement);
 
+    /** Records a departure that an earlier process of the node acknowledged, unless a later incarnation or
+     * one without a start time is known. @return whether the known incarnation has left thereby. */
+    bool restore(const target_departure& restored);
+
     /** Returns whether @p announcement belongs to the known incarnation. */
     bool is_current(const target_announcement& announcement) const;
 
+    /** Returns the departure that the known incarnation has when it drains or leaves. */
+    target_departure departure() const { return {m_instance, m_incarnation}; }
+
 private:
     std::string m_instance;       ///< Instance id of the newest incarnation.
     incarnation m_incarnation;    ///< Newest incarnation.
--- a/src/node/control_task.cpp
+++ b/src/node/control_task.cpp
@@ -62,6 +62,7 @@
     m_storage.watch_restorations([this] {
         m_members.on_table_restored(event_loop::now());
         process_actions();
+        m_on_output(table_restored{});
     });
     on_timer();
     return success();
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -88,6 +88,9 @@
               [this](call_output&& output) { on_call_output(std::move(output)); }),
       m_target(loop, environment.m_dialect, m_charts.m_target,
                [this](target_output&& output) { on_target_output(std::move(output)); }),
+      m_announcements(loop, environment.m_storage, m_settings.m_name, seed + 300,
+                      {[this](const target_announcement& announcement) { m_target.announce(announcement); },
+                       [this](const target_departure& departure) { m_target.restore_departure(departure); }}),
       m_control(loop, m_settings, environment.m_storage, own_incarnation, seed + 100,
                 [this](control_output&& output) { on_control_output(std::move(output)); }),
       m_peers(loop, [this](link_event&& event) { on_link_event(std::move(event)); }),
@@ -110,6 +113,7 @@
     }
     m_started_at = event_loop::now();
     m_target.start(m_settings);
+    m_announcements.start();
     m_overload_timer.set(overload_interval);
     raise("listening");
     return success();
@@ -138,6 +142,7 @@
 {
     std::visit(overloaded{
                    [&](target_changed& changed) { on_target_changed(changed); },
+                   [&](target_departed& departed) { m_announcements.record(departed.m_departure); },
                    [&](calls_gate& gate) {
                        const bool stopping = m_state_machine.state() == "draining" || m_state_machine.ended();
                        if (!gate.m_open || !stopping) {
@@ -165,6 +170,7 @@
                    [&](peer_changed& changed) { on_peer_changed(changed.m_record); },
                    [&](revision_in_force& configuration) { on_revision(configuration); },
                    [&](peer_send& outgoing) { m_peers.send(outgoing.m_peer, std::move(outgoing.m_message)); },
+                   [&](table_restored&) { m_announcements.on_table_restored(); },
                },
                output);
 }
--- a/src/node/node_base.h
+++ b/src/node/node_base.h
@@ -5,6 +5,7 @@
 #include "chart/chart.h"
 #include "loop/loop.h"
 #include "metrics/metrics.h"
+#include "node/announcement_task_base.h"
 #include "node/call_task_base.h"
 #include "node/control_task_base.h"
 #include "node/operators_task_base.h"
@@ -50,8 +51,11 @@
     /** Opens all sockets. @return the error that prevents the start. */
     result<void> start();
 
-    /** Handles an announcement of the target beside the node. */
-    void announce(const target_announcement& announcement) { m_target.announce(announcement); }
+    /** Handles an announcement of the target beside the node. @param acknowledge is called once it binds. */
+    void announce(const target_announcement& announcement, announcement_task::acknowledgement acknowledge)
+    {
+        m_announcements.announce(announcement, std::move(acknowledge));
+    }
 
     /** Applies the changed settings that do not need a restart. */
     settings_change apply(const node_settings& new_settings);
@@ -87,6 +91,7 @@
     metrics m_metrics;
     call_task m_calls;
     target_task m_target;
+    announcement_task m_announcements;
     control_task m_control;
     peer_task m_peers;
     operators_task m_operators;
--- a/src/node/target_task.cpp
+++ b/src/node/target_task.cpp
@@ -104,7 +104,7 @@
         m_target.m_slots != announcement.m_slots || m_target.m_service != announcement.m_service;
     if (announcement.m_intent != target_intent::serve) {
         m_target.m_intent = announcement.m_intent;
-        raise("drain");
+        depart();
         return;
     }
     m_target = announcement;
@@ -119,6 +119,20 @@
     schedule();
 }
 
+/** Drains the target, since its known incarnation leaves. */
+void target_task::depart()
+{
+    raise("drain");
+    m_on_output(target_departed{m_order.departure()});
+}
+
+void target_task::restore_departure(const target_departure& departure)
+{
+    if (m_order.restore(departure)) {
+        raise("drain");
+    }
+}
+
 /** Opens new connections, since those to an earlier incarnation are dead or lead to another target. */
 void target_task::begin_incarnation(const target_announcement& announcement)
 {
@@ -220,7 +234,7 @@
         m_dialect.m_leaving.empty() ? nullptr : find_header(headers, m_dialect.m_leaving);
     if (text != nullptr && *text == "1" && state() == target_state::ready) {
         log_event(event::target_leaving, {{"instance", m_target.m_instance}});
-        raise("drain");
+        depart();
     }
 }
 
--- a/src/node/target_task_base.h
+++ b/src/node/target_task_base.h
@@ -34,6 +34,10 @@
     /** Handles an announcement of the target; announcements older than the last one have no effect. */
     void announce(const target_announcement& announcement);
 
+    /** Records that an earlier process of this node acknowledged @p departure; drains the target if it is
+     * that incarnation or an earlier one. */
+    void restore_departure(const target_departure& departure);
+
     /** Sets the number of connections allowed by the configuration; 0 uses the announced number. */
     void set_connections(std::uint32_t connections);
 
@@ -71,6 +75,7 @@
     void set_rate_limit(std::optional<double> rate);
     void on_probe_event(http_client_event&& event);
     void begin_incarnation(const target_announcement& announcement);
+    void depart();
     void start_client();
     std::size_t connection_limit() const;
     void on_connect_probe(bool accepts);
--- a/src/node/task_message_type.h
+++ b/src/node/task_message_type.h
@@ -99,9 +99,14 @@
     std::string m_instance;                      ///< Id of its current incarnation; empty if it has none.
 };
 
+/** From the target task: an incarnation of the target drains or has left. */
+struct target_departed {
+    target_departure m_departure; ///< The incarnation.
+};
+
 /** Output of the target task to the node. */
-using target_output = std::variant<target_changed, calls_gate, run_answered, run_failed, probe_ended,
-                                   limit_hinted, target_rate_limited>;
+using target_output = std::variant<target_changed, target_departed, calls_gate, run_answered, run_failed,
+                                   probe_ended, limit_hinted, target_rate_limited>;
 
 /** From the control task: another node has joined, changed or left. */
 struct peer_changed {
@@ -114,8 +119,11 @@
     std::shared_ptr<const config_set> m_set; ///< The whole set.
 };
 
+/** From the control task: the platform has restored its table from an older copy. */
+struct table_restored {};
+
 /** Output of the control task to the node. */
-using control_output = std::variant<peer_changed, revision_in_force, peer_send>;
+using control_output = std::variant<peer_changed, revision_in_force, peer_send, table_restored>;
 
 /** Combines several function objects into one visitor. */
 template<class... Functions>
--- a/src/waxwingd/main.cpp
+++ b/src/waxwingd/main.cpp
@@ -119,8 +119,9 @@
     node local_node(loop, settings, environment, std::move(charts), own_incarnation, seed);
     result<void> start_result = local_node.start();
     gateway_handlers handlers;
-    handlers.m_on_announcement = [&local_node](const target_announcement& announcement) {
-        local_node.announce(announcement);
+    handlers.m_on_announcement = [&local_node](const target_announcement& announcement,
+                                               std::function<void()> acknowledge) {
+        local_node.announce(announcement, std::move(acknowledge));
     };
     handlers.m_is_ready = [&local_node] { return local_node.ready().m_ready; };
     auto platform_gateway = gateway::open(
--- a/test/announcement_test.cpp
+++ b/test/announcement_test.cpp
@@ -60,3 +60,47 @@
     cr_assert(order.take(make_announcement("a", 100, 6)) == announcement_result::stale);
     cr_assert(order.take(make_announcement("a", 101, 1)) == announcement_result::new_life);
 }
+
+/** The next process of a node knows of a departure only what is stored. */
+Test(announcement, late_announcement_put_a_target_into_use_that_left_before_the_node_restarted)
+{
+    announcement_order order;
+    cr_assert(!order.restore({"a", {100}}), "no incarnation was known that could leave");
+    cr_assert(order.take(make_announcement("a", 100, 6)) == announcement_result::stale);
+    cr_assert(order.take(make_announcement("b", 90, 9)) == announcement_result::stale);
+    cr_assert(order.take(make_announcement("a", 100, 0, target_intent::leave)) == announcement_result::stale);
+    cr_assert(order.take(make_announcement("a", 101, 1)) == announcement_result::new_life);
+}
+
+Test(announcement, departure_that_is_restored_late_applies_to_the_known_incarnation)
+{
+    announcement_order order;
+    order.take(make_announcement("a", 100, 6));
+    cr_assert(order.restore({"a", {100}}));
+    cr_assert(order.take(make_announcement("a", 100, 7)) == announcement_result::stale);
+    cr_assert(!order.restore({"a", {90}}), "an older departure changes nothing");
+    cr_assert(order.take(make_announcement("b", 200, 1)) == announcement_result::new_life);
+    cr_assert(!order.restore({"a", {100}}));
+    cr_assert(order.take(make_announcement("b", 200, 2)) == announcement_result::same);
+}
+
+Test(announcement, departure_of_an_unknown_incarnation_is_recorded)
+{
+    announcement_order order;
+    cr_assert(order.take(make_announcement("a", 100, 0, target_intent::leave)) == announcement_result::left);
+    cr_assert((order.departure() == target_departure{"a", {100}}));
+    cr_assert(order.take(make_announcement("a", 100, 6)) == announcement_result::stale);
+    cr_assert(order.take(make_announcement("b", 0, 0, target_intent::leave)) == announcement_result::stale,
+              "without a start time it could not be told from a later one");
+}
+
+Test(announcement, departure_survives_its_encoding)
+{
+    const target_departure departure{"a\"b\n", {1'760'000'000'123}};
+    cr_assert(decode_departure(encode_departure(departure)).value() == departure);
+    for (const char* value :
+         {"", "{}", "[]", "[\"a\"]", "[1,2]", "[\"a\",-1]", "[\"a\",1,2]", "[\"a\",1.5]"}) {
+        cr_assert(decode_departure(value).has_error(), "%s", value);
+    }
+    cr_assert(decode_departure("[\"" + std::string(2000, 'a') + "\",1]").has_error());
+}
--- a/test/target_task_test.cpp
+++ b/test/target_task_test.cpp
@@ -44,7 +44,8 @@
         announce(1);
     }
 
-    void announce(std::uint64_t started_at, std::uint64_t sequence = 1)
+    void announce(std::uint64_t started_at, std::uint64_t sequence = 1,
+                  target_intent intent = target_intent::serve)
     {
         target_announcement announcement;
         announcement.m_service.m_value = "front";
@@ -53,6 +54,7 @@
         announcement.m_instance = "i-1";
         announcement.m_incarnation.m_value = started_at;
         announcement.m_sequence = sequence;
+        announcement.m_intent = intent;
         m_task.announce(announcement);
     }
 
@@ -176,3 +178,32 @@
     fixture.answer({{"Leaving", "1"}});
     cr_assert(fixture.m_task.state() == target_state::ready);
 }
+
+/** Only the departures that the node records bind its next process. */
+Test(target_task, departures_by_announcement_and_by_answer_are_reported)
+{
+    target_fixture by_announcement;
+    cr_assert(by_announcement.last<target_departed>() == nullptr);
+    by_announcement.announce(1, 2, target_intent::drain);
+    cr_assert((by_announcement.last<target_departed>()->m_departure == target_departure{"i-1", {1}}));
+    target_fixture by_answer;
+    by_answer.send();
+    by_answer.answer({{"Leaving", "1"}});
+    cr_assert((by_answer.last<target_departed>()->m_departure == target_departure{"i-1", {1}}));
+    target_fixture unknown;
+    unknown.announce(2, 0, target_intent::leave);
+    cr_assert((unknown.last<target_departed>()->m_departure == target_departure{"i-1", {2}}));
+    cr_assert(unknown.m_task.state() == target_state::draining);
+}
+
+Test(target_task, a_target_whose_departure_is_restored_late_is_drained)
+{
+    target_fixture fixture;
+    cr_assert(fixture.m_task.state() == target_state::ready);
+    fixture.m_task.restore_departure({"i-1", {1}});
+    cr_assert(fixture.m_task.state() == target_state::draining);
+    fixture.announce(1, 9);
+    cr_assert(fixture.m_task.state() == target_state::draining);
+    fixture.announce(2);
+    cr_assert(fixture.m_task.state() == target_state::ready);
+}
