Fix: a call passed on late in a planned stop was cut without an answer

With processes: orders of 9 s, sent 0.1 s and 2.3 s after SIGTERM with a grace of 6 s, ended without an answer at 5.93 s.

Cause: the end of the stop was no deadline for the calls of the entry. Requests of callers are refused from 2.5 s on, but sub-calls of the own target were passed on until the end, with their full deadline; a caller's request whose deadline is within 1 ms of that of a running call passes for one. Ruled out: new requests of callers late in the grace (sent at 2.8 s and 5.0 s: 503 from the draining entry).

Change: entry::begin_stop caps the deadline of all calls at the end of the stop, less 0.2 s for the replies, so that targets are told the shorter time and every caller is answered. A new call whose latency objective does not fit into the time left is refused as not run.

--- a/src/call/entry.cpp
+++ b/src/call/entry.cpp
@@ -174,6 +174,10 @@
     if (outbound.m_context.m_depth > set.m_max_depth) {
         return refusal(rule::loop);
     }
+    if (!ends_before_stop(now, kind)) {
+        return refusal(rule::draining);
+    }
+    new_call.m_deadline = std::min(new_call.m_deadline, m_stop_at);
     if (new_call.m_deadline <= now) {
         return refusal(rule::deadline_expired);
     }
@@ -211,6 +215,12 @@
     return proceed();
 }
 
+/** Returns whether a call of @p kind that starts now is likely to end before the node stops. */
+bool entry::ends_before_stop(instant now, const kind_object& kind) const
+{
+    return m_stop_at == instant::max() || now + kind.m_objective < m_stop_at;
+}
+
 /** Chooses the service of the next request of @p kind. A split uses smooth weighted round robin, so that each
  * part gets its exact portion at any time. */
 const service_name& entry::choose_service(const kind_object& kind)
--- a/src/call/entry_attempt.cpp
+++ b/src/call/entry_attempt.cpp
@@ -236,6 +236,15 @@
     m_tick_times.emplace(tick_at, number);
 }
 
+void entry::begin_stop(instant end)
+{
+    m_stop_at = end;
+    for (auto& [number, current] : m_calls) {
+        current.m_deadline = std::min(current.m_deadline, end);
+        schedule_tick(number, current, std::min(current.m_next_tick_at, end + answer_grace_period));
+    }
+}
+
 void entry::tick(instant now, std::vector<entry_action>& actions)
 {
     while (!m_tick_times.empty() && m_tick_times.begin()->first <= now) {
--- a/src/call/entry_base.h
+++ b/src/call/entry_base.h
@@ -69,6 +69,10 @@
     /** Removes the target beside @p node from routing; its attempts in flight continue. */
     void remove_target(const node_id& node);
 
+    /** Begins a planned stop, which ends at @p end. No call lasts longer, so that each caller is answered;
+     * new calls that are unlikely to end in time are refused, and targets are told the shorter deadline. */
+    void begin_stop(instant end);
+
     /** Refuses new requests of callers from now on, as the node is about to stop; sub-calls of its target are
      * still accepted. */
     void drain() { m_draining = true; }
@@ -147,6 +151,7 @@
     answer prepare(instant now, const entry_request& request, const request_fields& fields,
                    open_call& new_call);
     answer prepare_root(instant now, open_call& new_call);
+    bool ends_before_stop(instant now, const kind_object& kind) const;
     answer begin_sub_call(instant now, open_call& new_call, attempt_id parent_id, running_call& parent);
     std::optional<attempt_id> parent_of(const entry_request& request, instant deadline) const;
     const service_name& choose_service(const kind_object& kind);
@@ -190,6 +195,7 @@
     std::uint64_t m_attempt_base;
     std::uint64_t m_attempt_count = 0;
     bool m_draining = false;
+    instant m_stop_at = instant::max(); ///< When all calls have to end.
     entry_counters m_counters;
 };
 
--- a/src/node/call_task.cpp
+++ b/src/node/call_task.cpp
@@ -69,9 +69,10 @@
     return success();
 }
 
-void call_task::drain()
+void call_task::drain(instant end)
 {
     m_server->drain();
+    m_entry.begin_stop(end);
     m_runner.close(event_loop::now(), rule::draining, m_runner_actions);
     process_actions();
 }
--- a/src/node/call_task_base.h
+++ b/src/node/call_task_base.h
@@ -38,8 +38,8 @@
     result<void> listen();
 
     /** Stops accepting calls for the target, and closes each caller connection after its last reply. Callers
-     * are still served until refuse_callers. */
-    void drain();
+     * are still served until refuse_callers; all of them are answered by @p end. */
+    void drain(instant end);
 
     /** Refuses new requests of callers; requests in progress finish, including their sub-calls. */
     void refuse_callers();
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -17,6 +17,8 @@
     std::chrono::milliseconds(400); ///< The stop ends this long before its timeout.
 constexpr duration peer_discovery_timeout =
     std::chrono::seconds(3); ///< A node that finds no peers accepts callers after this.
+constexpr duration reply_margin =
+    std::chrono::milliseconds(200); ///< Callers are answered this long before the stop timeout.
 constexpr duration exit_delay = std::chrono::milliseconds(300); ///< Time to send the last messages.
 constexpr std::size_t quarantine_sender_count = 3; ///< Nodes that send a new one the quarantine records.
 constexpr duration overload_interval = std::chrono::seconds(1);
@@ -353,7 +355,7 @@
     }
     else if (action == "refuse-new-work") {
         log_event(event::node_stopping, {{"in_progress", std::to_string(m_calls.in_progress())}});
-        m_calls.drain();
+        m_calls.drain(m_stop_began_at + m_settings.m_stop_timeout - reply_margin);
     }
     else if (action == "drain-target") {
         m_target.raise("drain");
--- a/test/entry_test.cpp
+++ b/test/entry_test.cpp
@@ -297,6 +297,55 @@
     cr_assert(std::holds_alternative<entry_send>(fixture.send_request("/plain/x", {{"Id", "r1.a"}})));
 }
 
+/** Late in a planned stop, sub-calls were passed on that the end of the process cut. */
+Test(entry, a_call_passed_on_late_in_a_planned_stop_was_cut_without_an_answer)
+{
+    entry_fixture fixture;
+    fixture.add_running_call("r1", 1, std::chrono::seconds(30));
+    const instant end = fixture.m_now + std::chrono::seconds(6);
+    fixture.m_entry.begin_stop(end);
+    fixture.m_entry.drain();
+    fixture.m_now = end - std::chrono::milliseconds(400);
+    const entry_action late = fixture.send_request("/order/x", {{"Id", "r1.a"}, {"Time", "5000"}});
+    cr_assert(sent_call(late).m_context.m_time_left == std::chrono::milliseconds(400));
+    fixture.m_now = fixture.m_entry.next_tick();
+    cr_assert(fixture.m_now <= end + std::chrono::milliseconds(50));
+    fixture.m_actions.clear();
+    fixture.m_entry.tick(fixture.m_now, fixture.m_actions);
+    const auto& unfinished = std::get<entry_reply>(fixture.m_actions.back());
+    cr_assert(unfinished.m_answer.m_state == run_state::unknown);
+    const entry_action later = fixture.send_request("/order/x", {{"Id", "r1.b"}, {"Time", "5000"}});
+    cr_assert(std::get<entry_reply>(later).m_answer.m_rule == rule::draining);
+}
+
+Test(entry, a_call_in_progress_at_the_end_of_a_planned_stop_is_answered)
+{
+    entry_fixture fixture;
+    const instant end = fixture.m_now + std::chrono::seconds(1);
+    fixture.send_request("/plain/x", {{"Id", "r1"}, {"Time", "60000"}});
+    fixture.m_entry.begin_stop(end);
+    cr_assert(fixture.m_entry.next_tick() <= end + std::chrono::milliseconds(50));
+    fixture.m_actions.clear();
+    fixture.m_entry.tick(fixture.m_entry.next_tick(), fixture.m_actions);
+    cr_assert(std::holds_alternative<entry_reply>(fixture.m_actions.back()));
+    cr_assert(fixture.m_entry.in_progress() == 0);
+}
+
+Test(entry, a_call_that_is_unlikely_to_end_before_a_planned_stop_is_refused)
+{
+    entry_fixture fixture;
+    auto set = std::make_shared<config_set>(*configuration());
+    set->m_kinds[kind_name{"plain"}].m_objective = std::chrono::milliseconds(800);
+    fixture.m_entry.configure(set);
+    fixture.add_running_call("r1", 1, std::chrono::seconds(30));
+    fixture.m_entry.begin_stop(fixture.m_now + std::chrono::seconds(1));
+    cr_assert(std::holds_alternative<entry_send>(fixture.send_request("/plain/x", {{"Id", "r1.a"}})));
+    fixture.m_now += std::chrono::milliseconds(300);
+    const entry_action late = fixture.send_request("/plain/x", {{"Id", "r1.b"}});
+    const answer& refused = std::get<entry_reply>(late).m_answer;
+    cr_assert(refused.m_rule == rule::draining && refused.m_state == run_state::not_run);
+}
+
 /** The configuration accepts host names of up to 253 bytes. */
 Test(entry, a_request_for_a_long_host_name_is_not_refused)
 {
