Fix: calls on a link that went silent were held for up to 6 s

Cause: a link pinged after 2 s without received bytes and ended after 6 s; whether an answer was due did not matter.

Progress of a full send buffer restarts the second time.

The new tests of liveness did not compile before (no time-out on answers); 19 of 19, 15 of 15 and 11 of 11 pass in link_decision_test, link_test and link_hostile_test.

--- a/src/link/connection.cpp
+++ b/src/link/connection.cpp
@@ -27,6 +27,13 @@
             std::min<std::uint64_t>(own.m_streams, peer.m_stream_limit)};
 }
 
+/** Returns the times of the liveness of links with @p settings. */
+liveness_settings to_liveness_settings(const link_settings& settings)
+{
+    return {settings.m_heartbeat, settings.m_silence_timeout, settings.m_request_patience,
+            settings.m_answer_timeout};
+}
+
 } // namespace
 
 link_connection::link_connection(connection_context context, descriptor socket, const endpoint& address,
@@ -34,8 +41,7 @@
     : m_context(context), m_side(settings.m_side), m_socket(std::move(socket)),
       m_handshake(std::move(settings)), m_watcher(context.m_loop, [this](int events) { on_ready(events); }),
       m_timer(context.m_loop, [this] { on_timer(); }),
-      m_liveness(context.m_settings.m_heartbeat, context.m_settings.m_silence_timeout, event_loop::now()),
-      m_started_at(event_loop::now())
+      m_liveness(to_liveness_settings(context.m_settings), event_loop::now()), m_started_at(event_loop::now())
 {
     websocket_handlers handlers;
     handlers.m_on_open = [this] { on_open(); };
@@ -54,7 +60,12 @@
 
 void link_connection::send(link_message message)
 {
+    const bool is_request =
+        std::holds_alternative<call_message>(message) || std::holds_alternative<control_message>(message);
     m_sender->push(std::move(message));
+    if (is_request && m_liveness.on_request_sent(event_loop::now())) {
+        set_timer();
+    }
 }
 
 std::optional<link_message> link_connection::withdraw(attempt_id attempt)
@@ -262,6 +273,9 @@
     }
     m_context.m_counters.m_bytes_out += static_cast<std::uint64_t>(size);
     m_output_offset += static_cast<std::size_t>(size);
+    if ((static_cast<unsigned>(m_watched_events) & EV_WRITE) != 0) {
+        m_liveness.on_progress(event_loop::now());
+    }
     mark_sent_messages();
     const bool all_sent = m_output_offset == m_output.size();
     if (all_sent || m_output_offset >= output_target) {
--- a/src/link/link_task.cpp
+++ b/src/link/link_task.cpp
@@ -36,6 +36,9 @@
         return fail(error_code::invalid,
                     "the heartbeat interval is not positive or not below the silence timeout");
     }
+    if (settings.m_request_patience <= duration::zero() || settings.m_answer_timeout <= duration::zero()) {
+        return fail(error_code::invalid, "the patience with requests or the answer timeout is not positive");
+    }
     if (settings.m_min_reconnect_delay <= duration::zero() ||
         settings.m_max_reconnect_delay < settings.m_min_reconnect_delay) {
         return fail(error_code::invalid,
--- a/test/link_decision_test.cpp
+++ b/test/link_decision_test.cpp
@@ -16,6 +16,12 @@
 
 constexpr instant start{};
 
+/** Times of a link that is closed by its silence timeout only. */
+constexpr liveness_settings slow_liveness{seconds(2), seconds(6), seconds(6), seconds(6)};
+
+/** Times of a link that is closed soon after a ping without an answer. */
+constexpr liveness_settings quick_liveness{seconds(2), seconds(6), milliseconds(500), milliseconds(1500)};
+
 /** Returns the handshake settings of alpha, which opens a link to beta. */
 handshake_settings opener_settings(std::string_view key = "key")
 {
@@ -187,7 +193,7 @@
 
 Test(liveness, pings_a_quiet_link_and_closes_a_silent_one)
 {
-    liveness link(seconds(2), seconds(6), start);
+    liveness link(slow_liveness, start);
     cr_assert(link.next_due() == start + seconds(2));
     cr_assert(link.decide(start + milliseconds(1999)) == liveness_step::wait);
     cr_assert(link.decide(start + seconds(2)) == liveness_step::ping);
@@ -203,7 +209,7 @@
 
 Test(liveness, a_link_in_use_is_never_pinged)
 {
-    liveness link(seconds(2), seconds(6), start);
+    liveness link(slow_liveness, start);
     for (int count = 1; count < 100; ++count) {
         const instant now = start + milliseconds(1900) * count;
         cr_assert(link.decide(now) == liveness_step::wait);
@@ -211,6 +217,51 @@
     }
 }
 
+/** The calls on a connection that had gone silent without a reset were held for up to 6 s. */
+Test(liveness, a_silent_link_held_calls_until_its_silence_timeout)
+{
+    liveness link(quick_liveness, start);
+    cr_assert(link.on_request_sent(start + milliseconds(100)));
+    cr_assert(!link.on_request_sent(start + milliseconds(200)), "the first call decides");
+    cr_assert(link.next_due() == start + milliseconds(600));
+    cr_assert(link.decide(start + milliseconds(600)) == liveness_step::ping);
+    cr_assert(link.next_due() == start + milliseconds(2100));
+    cr_assert(link.decide(start + milliseconds(2099)) == liveness_step::wait);
+    cr_assert(link.decide(start + milliseconds(2100)) == liveness_step::close);
+}
+
+Test(liveness, an_idle_link_that_went_silent_is_closed_after_its_heartbeat)
+{
+    liveness link(quick_liveness, start);
+    cr_assert(link.decide(start + seconds(2)) == liveness_step::ping);
+    cr_assert(link.decide(start + milliseconds(3499)) == liveness_step::wait);
+    cr_assert(link.decide(start + milliseconds(3500)) == liveness_step::close);
+}
+
+Test(liveness, a_link_with_a_slow_target_is_pinged_and_stays)
+{
+    liveness link(quick_liveness, start);
+    link.on_request_sent(start);
+    instant now = start;
+    for (int count = 0; count < 20; ++count) {
+        now = link.next_due();
+        cr_assert(link.decide(now) == liveness_step::ping);
+        now += milliseconds(1400);
+        cr_assert(link.decide(now) == liveness_step::wait);
+        link.on_bytes_received(now);
+    }
+}
+
+Test(liveness, a_link_whose_ping_waits_behind_a_long_message_stays)
+{
+    liveness link(quick_liveness, start);
+    link.on_request_sent(start);
+    cr_assert(link.decide(start + milliseconds(500)) == liveness_step::ping);
+    link.on_progress(start + milliseconds(1900));
+    cr_assert(link.decide(start + milliseconds(2000)) == liveness_step::wait);
+    cr_assert(link.decide(start + milliseconds(3400)) == liveness_step::close);
+}
+
 Test(backoff, delays_are_spread_below_a_doubling_bound)
 {
     cr_assert(rc::check("0 <= delay <= min(max, min * 2^n)", [] {
