Fix: a feed that went silent kept an old configuration in force

Cause: a feed that waits is silent by nature; only its own time-out, or the keep-alive of TCP where the other end does not acknowledge, showed that its connection was dead. Ruled out: nodes that do not learn of what watchers know (in the case no node had the new configuration).

Change: the check that reads the era each second also compares the version of the store with that of the feed. Where it is higher, the row is read, once for each version, and if it has changed the feed is replaced. A check waits for 0.7 s and is repeated once at failure; a time-out closes the idle connections to the store.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -48,6 +48,12 @@
         fail_exchange(exchange, http_failure_kind::aborted, "aborted");
     }
 
+    void close_idle() override
+    {
+        while (close_oldest_idle()) {
+        }
+    }
+
     std::size_t in_progress() const override { return m_pending.size(); }
 
 private:
--- a/src/http/http_client_base.h
+++ b/src/http/http_client_base.h
@@ -91,6 +91,9 @@
     /** Aborts @p exchange; its event tells whether any of it was sent. No effect once it has ended. */
     virtual void abort(exchange_id exchange) = 0;
 
+    /** Closes the connections that are idle, for an owner that has reason to think that they are dead. */
+    virtual void close_idle() = 0;
+
     /** Returns the number of requests whose event is still to come. */
     virtual std::size_t in_progress() const = 0;
 
--- a/test/platform_restore_store.h
+++ b/test/platform_restore_store.h
@@ -26,6 +26,8 @@
     json m_resources = json::array();    ///< Routes and services in the operator's row.
     bool m_names_era = true;             ///< Whether answers have the header with the era.
     bool m_is_down = false;              ///< Whether all calls are refused.
+    bool m_are_feeds_silent = false;     ///< Whether feeds that wait are never answered.
+    int m_reads = 0;                     ///< Reads of the operator's row.
     std::vector<exchange_id> m_feeds;    ///< Feeds that wait for a change.
     std::vector<http_request> m_commits; ///< Transactions received; answered by m_on_commit.
     int m_restorations = 0;              ///< Restorations that the client reported.
@@ -67,6 +69,9 @@
     {
         m_row_revision = revision;
         m_row_version = ++m_counter;
+        if (m_are_feeds_silent) {
+            return;
+        }
         for (const exchange_id feed : std::exchange(m_feeds, {})) {
             reply(feed, 200, {{"rows", json::array({row()})}, {"ver", m_counter}});
         }
@@ -130,6 +135,7 @@
             return reply(request.m_exchange, 200, {{"ver", ++m_counter}});
         }
         if (request.m_path.find("/rows-get") == 0) {
+            m_reads += request.m_path.find("from=config") != std::string::npos ? 1 : 0;
             return reply(request.m_exchange, 200,
                          {{"rows", json::array({row()})}, {"hasMore", false}, {"ver", m_counter}});
         }
--- a/test/platform_restore_test.cpp
+++ b/test/platform_restore_test.cpp
@@ -224,3 +224,33 @@
     fixture.m_is_down = false;
     cr_assert(fixture.runs_until(11));
 }
+
+/** A feed on a connection that went silent was waited for up to 22 s. */
+Test(platform_restore, a_silent_feed_kept_an_old_configuration_in_force)
+{
+    store_fixture fixture;
+    fixture.write(8);
+    fixture.watch();
+    cr_assert(fixture.runs_until(8) && fixture.runs_until_feed_waits());
+    fixture.m_are_feeds_silent = true;
+    fixture.m_feeds.clear();
+    fixture.write(9);
+    cr_assert(fixture.runs_until(9));
+    cr_assert(fixture.runs_until_feed_waits(), "a new feed takes the place of the silent one");
+    fixture.m_are_feeds_silent = false;
+    fixture.write(10);
+    cr_assert(fixture.runs_until(10));
+}
+
+Test(platform_restore, writes_to_other_tables_cost_one_read_of_the_row_each_second_at_most)
+{
+    store_fixture fixture;
+    fixture.write(8);
+    fixture.watch();
+    cr_assert(fixture.runs_until(8) && fixture.runs_until_feed_waits());
+    fixture.run(std::chrono::milliseconds(1500));
+    const int reads = fixture.m_reads;
+    ++fixture.m_counter;
+    fixture.run(std::chrono::milliseconds(2500));
+    cr_assert(fixture.m_reads == reads + 1, "%d", fixture.m_reads - reads);
+}
