Fix: requests sent ahead of a late reader were never answered

Cause: with 4 MiB of output a connection stopped parsing, and only a read or a reply resumed it; when the output had drained after the last reply, nothing did. Ruled out: lost replies and unread bytes (288 requests delivered, 288 answered, the rest in the input buffer).

Change: parse whenever the socket takes output; the limit counts unsent bytes; sent bytes are dropped while others wait.

--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <utility>
 
 namespace waxwing {
 
@@ -19,7 +20,7 @@
 
 constexpr int max_reads = 4; ///< Reads per event, so that other connections are served in between.
 constexpr std::size_t pipeline_limit = 64;            ///< Most requests of one connection that await a reply.
-constexpr std::size_t output_limit = 4 * 1024 * 1024; ///< Unsent bytes at which reading stops.
+constexpr std::size_t output_limit = 4 * 1024 * 1024; ///< Unsent bytes at which parsing stops.
 /** Longest wait for the client to close first. */
 constexpr duration linger_timeout = std::chrono::milliseconds(500);
 constexpr unsigned first_status = 100;
@@ -67,6 +68,7 @@
     m_last_activity_at = event_loop::now();
     if ((events & EV_WRITE) != 0) {
         send_output();
+        parse();
     }
     if ((events & EV_READ) != 0 && m_phase != phase::closed) {
         read();
@@ -99,8 +101,7 @@
 /** Parses the received bytes and delivers whole requests, up to the limits on pipelining and output. */
 void server_connection::parse()
 {
-    while (m_phase == phase::open && !m_last_received && !m_input.empty() &&
-           m_pending.size() < pipeline_limit && m_output.size() < output_limit) {
+    while (m_phase == phase::open && !m_last_received && !m_input.empty() && !is_full()) {
         if (!m_parser) {
             start_parser();
         }
@@ -132,6 +133,13 @@
     }
 }
 
+/** Returns whether too many requests await their replies, or too much output is unsent, to parse another one.
+ */
+bool server_connection::is_full() const
+{
+    return m_pending.size() >= pipeline_limit || m_output.size() - m_sent >= output_limit;
+}
+
 /** Refuses a request in which the parser waits for the end of a line, such as a chunk extension, for too
  * long. */
 void server_connection::refuse_endless_line()
@@ -267,6 +275,9 @@
         return;
     }
     if (m_sent < m_output.size()) {
+        if (m_sent > m_output.size() / 2) {
+            m_output.erase(0, std::exchange(m_sent, 0));
+        }
         return;
     }
     m_output.clear();
@@ -349,8 +360,7 @@
         return;
     }
     update_sending();
-    const bool full = m_pending.size() >= pipeline_limit || m_output.size() >= output_limit;
-    const int events = (full ? 0 : EV_READ) | (m_output.empty() ? 0 : EV_WRITE);
+    const int events = (is_full() ? 0 : EV_READ) | (m_output.empty() ? 0 : EV_WRITE);
     if (events != m_watched_events) {
         m_watched_events = events;
         m_watcher.watch(m_socket.get(), events);
--- a/src/http/server_connection_base.h
+++ b/src/http/server_connection_base.h
@@ -78,6 +78,7 @@
     void on_timer();
     void read();
     void parse();
+    bool is_full() const;
     void start_parser();
     void send_continue();
     void finish_request(bool body_too_large);
--- a/test/http_wire_test.cpp
+++ b/test/http_wire_test.cpp
@@ -652,3 +652,56 @@
     writer.watch(client.get(), EV_WRITE);
     cr_assert(read_until(client, "served", guarded.m_loop).find("served") != std::string::npos);
 }
+
+/** A client sends many requests ahead and reads late; once its replies had drained, no further request was
+ * parsed. */
+Test(wire, requests_sent_ahead_of_a_late_reader_were_never_answered)
+{
+    constexpr std::size_t count = 400;
+    guarded_loop guarded;
+    std::unique_ptr<http_server> server;
+    std::size_t delivered = 0;
+    http_server_settings settings;
+    settings.m_address = {"127.0.0.1", 0};
+    server = std::move(http_server::open(guarded.m_loop, settings, [&](http_server_event&& event) {
+                           ++delivered;
+                           server->reply({std::get<http_request>(event).m_exchange,
+                                          200,
+                                          {},
+                                          std::string(36'000, 'x') + "end of reply"});
+                       }).value());
+    const descriptor client = std::move(start_connect(server->address(), socket_use::http)).value();
+    std::string requests;
+    for (std::size_t index = 0; index < count; ++index) {
+        requests += "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+    }
+    std::size_t sent = 0;
+    io_watcher writer(guarded.m_loop, [&](int) {
+        cr_assert(send_remaining(client.get(), requests, sent));
+        if (sent == requests.size()) {
+            writer.stop();
+        }
+    });
+    writer.watch(client.get(), EV_WRITE);
+    std::string received;
+    std::size_t replies = 0;
+    io_watcher reader(guarded.m_loop, [&](int) {
+        std::string buffer(65536, '\0');
+        const ssize_t size = recv(client.get(), buffer.data(), buffer.size(), 0);
+        cr_assert(size > 0, "the connection ended after %zu replies", replies);
+        received.append(buffer.data(), static_cast<std::size_t>(size));
+        for (std::size_t end = 0; (end = received.find("end of reply")) != std::string::npos;) {
+            received.erase(0, end + 1);
+            ++replies;
+        }
+        if (replies == count) {
+            guarded.m_loop.stop();
+        }
+    });
+    timer begin(guarded.m_loop, [&] { reader.watch(client.get(), EV_READ); });
+    begin.set(std::chrono::milliseconds(300));
+    timer end(guarded.m_loop, [&] { guarded.m_loop.stop(); });
+    end.set(std::chrono::seconds(10));
+    guarded.m_loop.run();
+    cr_assert(replies == count, "%zu replies to %zu delivered requests", replies, delivered);
+}
