Fix: a client that left with 64 requests in progress went unnoticed

Cause: at the bound of 64 requests in progress with nothing to send, a connection watched no event of its socket.

Change: it reads up to 64 KiB ahead of what it parses, and so sees the end of the connection.

--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -21,6 +21,7 @@
 constexpr int max_reads = 4; ///< Reads per event, so that other connections are served in between.
 constexpr std::size_t pipeline_limit = 64;            ///< Most requests of one connection that await a reply.
 constexpr std::size_t output_limit = 4 * 1024 * 1024; ///< Unsent bytes at which parsing stops.
+constexpr std::size_t input_limit = 64 * 1024; ///< Unparsed bytes at which reading stops while parsing does.
 /** Longest wait for the client to close first. */
 constexpr duration linger_timeout = std::chrono::milliseconds(500);
 constexpr unsigned first_status = 100;
@@ -360,7 +361,9 @@
         return;
     }
     update_sending();
-    const int events = (is_full() ? 0 : EV_READ) | (m_output.empty() ? 0 : EV_WRITE);
+    // Some input is read even while none is parsed, as only reading shows that the client has left.
+    const bool reads = !is_full() || m_input.size() < input_limit;
+    const int events = (reads ? EV_READ : 0) | (m_output.empty() ? 0 : EV_WRITE);
     if (events != m_watched_events) {
         m_watched_events = events;
         m_watcher.watch(m_socket.get(), events);
--- a/test/http_wire_test.cpp
+++ b/test/http_wire_test.cpp
@@ -705,3 +705,41 @@
     guarded.m_loop.run();
     cr_assert(replies == count, "%zu replies to %zu delivered requests", replies, delivered);
 }
+
+/** With as many requests in progress as a connection may have, its client was not seen to leave. */
+Test(wire, a_client_that_left_with_many_requests_in_progress_went_unnoticed)
+{
+    guarded_loop guarded;
+    std::unique_ptr<http_server> server;
+    std::size_t delivered = 0;
+    std::size_t disconnected = 0;
+    descriptor client;
+    http_server_settings settings;
+    settings.m_address = {"127.0.0.1", 0};
+    server = std::move(http_server::open(guarded.m_loop, settings, [&](http_server_event&& event) {
+                           if (std::holds_alternative<http_request>(event)) {
+                               ++delivered;
+                               return;
+                           }
+                           if (++disconnected == delivered) {
+                               guarded.m_loop.stop();
+                           }
+                       }).value());
+    client = std::move(start_connect(server->address(), socket_use::http)).value();
+    std::string requests;
+    for (int index = 0; index < 70; ++index) {
+        requests += "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+    }
+    io_watcher writer(guarded.m_loop, [&](int) {
+        std::size_t sent = 0;
+        cr_assert(send_remaining(client.get(), requests, sent) && sent == requests.size());
+        writer.stop();
+    });
+    writer.watch(client.get(), EV_WRITE);
+    timer leave(guarded.m_loop, [&] { client.reset(); });
+    leave.set(std::chrono::milliseconds(200));
+    timer end(guarded.m_loop, [&] { guarded.m_loop.stop(); });
+    end.set(std::chrono::seconds(5));
+    guarded.m_loop.run();
+    cr_assert(delivered == 64 && disconnected == delivered, "%zu of %zu", disconnected, delivered);
+}
