Fix: bodies with an unknown framing were run as requests

Cause: Boost.Beast takes a request whose transfer encoding it does not know for one without a body, and any list that ends in chunked for chunked. Ruled out: bodies that are read and dropped (the request in the place of the body was delivered).

Change: a transfer encoding other than one field `chunked`, and folded fields, are refused with 400 and the connection closes. Answers with another encoding count as lost.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -181,6 +181,10 @@
             close_with_error("cannot parse the answer: " + parse_error.message());
             return;
         }
+        if (m_parser->is_header_done() && !has_known_framing(m_parser->get())) {
+            close_with_error("the answer has an unknown transfer encoding");
+            return;
+        }
         if (m_parser->is_done()) {
             if (!finish_message()) {
                 return;
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 
 #include <cerrno>
+#include <iterator>
 
 namespace waxwing {
 
@@ -24,6 +25,30 @@
     }
 }
 
+bool has_known_framing(const boost::beast::http::fields& fields)
+{
+    const auto [begin, end] = fields.equal_range(boost::beast::http::field::transfer_encoding);
+    if (begin == end) {
+        return true;
+    }
+    const auto value = begin->value();
+    return std::next(begin) == end && equal_ignoring_case(std::string(value), "chunked");
+}
+
+bool has_folded_field(std::string_view input)
+{
+    for (std::size_t end = input.find('\n'); end != std::string_view::npos; end = input.find('\n', end + 1)) {
+        const char next = end + 1 < input.size() ? input[end + 1] : '\r';
+        if (next == ' ' || next == '\t') {
+            return true;
+        }
+        if (next == '\r') {
+            return false;
+        }
+    }
+    return false;
+}
+
 header_list to_headers(const boost::beast::http::fields& fields)
 {
     header_list headers;
--- a/src/http/message_func.h
+++ b/src/http/message_func.h
@@ -9,6 +9,7 @@
 #include <boost/beast/http/fields.hpp>
 
 #include <stdexcept>
+#include <string_view>
 
 namespace waxwing {
 
@@ -17,6 +18,14 @@
 /** Appends @p header_line to @p out, unless it contains a character that would corrupt the headers. */
 void append_header(std::string& out, const header& header_line);
 
+/** Returns whether the body of a message with @p fields is framed in a way that the parser understands: its
+ * transfer encoding, if any, is exactly `chunked`. */
+bool has_known_framing(const boost::beast::http::fields& fields);
+
+/** Returns whether the head at the start of @p input, complete or not, has a field that goes on in the next
+ * line (obsolete line folding). Other recipients may see two fields in it. */
+bool has_folded_field(std::string_view input);
+
 /** Returns the headers of a parsed message. */
 header_list to_headers(const boost::beast::http::fields& fields);
 
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -27,6 +27,7 @@
 constexpr unsigned first_status = 100;
 constexpr unsigned last_status = 999;
 constexpr unsigned fallback_status = 500;
+constexpr unsigned bad_request_status = 400;
 constexpr unsigned header_limit_status = 431;
 constexpr unsigned no_content = 204;
 constexpr unsigned not_modified = 304;
@@ -44,7 +45,7 @@
     if (parse_error == beast_http::error::header_limit) {
         return header_limit_status;
     }
-    return 400;
+    return bad_request_status;
 }
 
 } // namespace
@@ -106,9 +107,17 @@
         if (!m_parser) {
             start_parser();
         }
+        if (!m_parser->is_header_done() && has_folded_field(m_input)) {
+            refuse(bad_request_status);
+            return;
+        }
         boost::beast::error_code parse_error;
         const std::size_t consumed = put_bytes(*m_parser, m_input, parse_error);
         m_input.erase(0, consumed);
+        if (m_parser->is_header_done() && !has_known_framing(m_parser->get())) {
+            refuse(bad_request_status);
+            return;
+        }
         if (parse_error == beast_http::error::need_more) {
             send_continue();
             refuse_endless_line();
--- a/test/http_wire_test.cpp
+++ b/test/http_wire_test.cpp
@@ -315,6 +315,88 @@
     cr_assert(received.find("Connection: close") != std::string::npos);
 }
 
+/** Bodies whose framing was not understood were run as requests of their own, or dropped. */
+Test(wire, a_request_with_an_unknown_framing_was_run)
+{
+    const std::string smuggled = "GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n";
+    const std::string chunks = "5\r\nhello\r\n0\r\n\r\n";
+    const std::vector<std::string> fields{
+        "Transfer-Encoding: gzip\r\n\r\n",
+        "Transfer-Encoding: identity\r\n\r\n",
+        "Transfer-Encoding: xchunked\r\n\r\n",
+        "Transfer-Encoding: chunked, identity\r\n\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n\r\n" + chunks,
+        "Transfer-Encoding: chunked, chunked\r\n\r\n" + chunks,
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks,
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n" + chunks,
+        "Transfer-Encoding: chunked;q=1\r\n\r\n" + chunks,
+        "Transfer-Encoding: \"chunked\"\r\n\r\n" + chunks,
+        "Transfer-Encoding:\r\n\r\n",
+        "Transfer-Encoding : chunked\r\n\r\n" + chunks,
+        "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n" + chunks,
+        "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks,
+        "Content-Length: 5\r\nTransfer-Encoding: gzip\r\n\r\nhello",
+        "Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello!",
+        "Content-Length: 5, 6\r\n\r\nhello!",
+        "Content-Length: +5\r\n\r\nhello",
+        "Content-Length: -5\r\n\r\nhello",
+        "Content-Length: 0x5\r\n\r\nhello",
+        "Content-Length: 5 5\r\n\r\nhello",
+        "Content-Length: 99999999999999999999\r\n\r\nhello",
+        "Content-Length:\r\n\r\n",
+        "Content-Length : 5\r\n\r\nhello",
+        " Content-Length: 5\r\n\r\nhello",
+        "X: a\r\n Content-Length: 5\r\n\r\nhello",
+        "X: a\r\n\tb\r\n\r\n",
+        "X: a\nContent-Length: 5\r\n\r\nhello",
+        "X: a\rContent-Length: 5\r\n\r\nhello",
+        std::string("X: a\0b\r\n\r\n", 10),
+        "Transfer-Encoding: chunked\r\n\r\n+5\r\nhello\r\n0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n0x5\r\nhello\r\n0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n5\nhello\r\n0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n5\r\nhello0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n10000000000000005\r\nhello\r\n0\r\n\r\n",
+    };
+    std::string passed;
+    for (const std::string& field : fields) {
+        guarded_loop guarded;
+        std::unique_ptr<http_server> server;
+        http_server_settings settings;
+        settings.m_address = {"127.0.0.1", 0};
+        server = std::move(http_server::open(guarded.m_loop, settings, [&](http_server_event&& event) {
+                               if (const auto* const request = std::get_if<http_request>(&event)) {
+                                   passed += request->m_path + ": " + field + "\n";
+                                   server->reply({request->m_exchange, 200, {}, ""});
+                               }
+                           }).value());
+        const descriptor client = std::move(start_connect(server->address(), socket_use::http)).value();
+        const std::string request = "POST /a HTTP/1.1\r\nHost: h\r\n" + field + smuggled;
+        io_watcher writer(guarded.m_loop, [&](int) {
+            cr_assert(send(client.get(), request.data(), request.size(), MSG_NOSIGNAL) > 0);
+            writer.stop();
+        });
+        writer.watch(client.get(), EV_WRITE);
+        const std::string received = read_until(client, "\r\n\r\n", guarded.m_loop);
+        if (received.find("HTTP/1.1 400") != 0 || received.find("Connection: close") == std::string::npos) {
+            passed += received.substr(0, 12) + ": " + field + "\n";
+        }
+    }
+    cr_assert(passed.empty(), "%s", passed.c_str());
+}
+
+/** The transfer encoding is not passed on, so that the caller could not decode the body. */
+Test(wire, an_answer_with_an_unknown_framing_is_reported_as_lost)
+{
+    for (const char* encoding : {"gzip", "identity", "gzip, chunked", "chunked, chunked", "xchunked",
+                                 "chunked\r\nTransfer-Encoding: identity"}) {
+        guarded_loop guarded;
+        raw_server server(guarded.m_loop, {"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: " +
+                                           std::string(encoding) + "\r\n\r\n5\r\nhello\r\n0\r\n\r\n!"});
+        const auto events = exchange(server, guarded, 1);
+        cr_assert(is_lost(events[0]), "%s", encoding);
+    }
+}
+
 Test(wire, a_new_connection_replaces_an_idle_one_at_the_limit)
 {
     guarded_loop guarded;
