Fix: a request that arrived too slowly cost an earlier one its reply

What callers saw: a client sent a second request on its connection, head or body, more slowly than the request time-out allows.

Cause: on_timer closed the connection unless no request was in progress.

Change: the late request is refused with 408, as it is without earlier ones. The refusal waits behind their replies, and the connection closes after it.

--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -345,7 +345,8 @@
         m_timer.set(awaits_reply && !receiving ? timeout() : since + timeout() - now);
         return;
     }
-    if (receiving && m_pending.empty()) {
+    if (receiving) {
+        // Replies to earlier requests come first.
         refuse(request_timeout_status);
         m_timer.set(linger_timeout);
         return;
--- a/test/http_wire_test.cpp
+++ b/test/http_wire_test.cpp
@@ -825,3 +825,34 @@
     guarded.m_loop.run();
     cr_assert(delivered == 64 && disconnected == delivered, "%zu of %zu", disconnected, delivered);
 }
+
+/** The connection was closed, and the reply to the earlier request with it. */
+Test(wire, a_request_that_arrived_too_slowly_cost_an_earlier_one_its_reply)
+{
+    for (const std::string& slow :
+         {std::string("GET /b HT"),
+          std::string("POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhe")}) {
+        guarded_loop guarded;
+        std::unique_ptr<http_server> server;
+        exchange_id first;
+        timer run(guarded.m_loop, [&] { server->reply({first, 200, {}, "run"}); });
+        http_server_settings settings;
+        settings.m_address = {"127.0.0.1", 0};
+        settings.m_request_timeout = std::chrono::milliseconds(50);
+        server = std::move(http_server::open(guarded.m_loop, settings, [&](http_server_event&& event) {
+                               first = std::get<http_request>(event).m_exchange;
+                               run.set(std::chrono::milliseconds(200));
+                           }).value());
+        const descriptor client = std::move(start_connect(server->address(), socket_use::http)).value();
+        const std::string requests = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n" + slow;
+        io_watcher writer(guarded.m_loop, [&](int) {
+            cr_assert(send(client.get(), requests.data(), requests.size(), MSG_NOSIGNAL) > 0);
+            writer.stop();
+        });
+        writer.watch(client.get(), EV_WRITE);
+        const std::string received = read_until(client, "HTTP/1.1 408", guarded.m_loop);
+        cr_assert(received.find("HTTP/1.1 200") == 0 && received.find("run") != std::string::npos, "%s",
+                  received.c_str());
+        cr_assert(received.find("HTTP/1.1 408") != std::string::npos);
+    }
+}
