Fix: a heartbeat without a start time replaced the known target

What callers saw: after such a heartbeat, which comes from another writer and names no server to use, requests went to the address that it named until the server's own next beat (sighting of the review, by reading).

Cause: announcement_order compared start times only where the announcement had one.

Change: once the known incarnation has a start time, announcements without one are stale. A departure without one still counts for the known instance.

Not played with processes.

--- a/src/member/announcement.cpp
+++ b/src/member/announcement.cpp
@@ -44,8 +44,12 @@
 
 announcement_result announcement_order::take(const target_announcement& announcement)
 {
+    const bool leaves = announcement.m_intent == target_intent::leave;
+    const bool is_dated = announcement.m_incarnation.m_value != 0;
+    if (m_known && m_incarnation.m_value != 0 && !is_dated && !leaves) {
+        return announcement_result::stale;
+    }
     if (is_current(announcement)) {
-        const bool leaves = announcement.m_intent == target_intent::leave;
         if (m_left || (!leaves && announcement.m_sequence != 0 && announcement.m_sequence <= m_sequence)) {
             return announcement_result::stale;
         }
@@ -53,8 +57,6 @@
         m_left = leaves;
         return announcement_result::same;
     }
-    const bool leaves = announcement.m_intent == target_intent::leave;
-    const bool is_dated = announcement.m_incarnation.m_value != 0;
     const bool older = m_known && is_dated && !(m_incarnation < announcement.m_incarnation);
     if (older || (leaves && !is_dated)) {
         return announcement_result::stale;
--- a/src/member/announcement_type.h
+++ b/src/member/announcement_type.h
@@ -57,6 +57,7 @@
 /**
  * Orders the announcements of the one target beside a node. A later incarnation supersedes an earlier one,
  * and within an incarnation the higher sequence number wins. Announcements may arrive late and in any order.
+ * One without a start time comes from another writer if the known incarnation has announced its own.
  * Thread safety: none needed; one owner.
  */
 class announcement_order {
--- a/test/announcement_test.cpp
+++ b/test/announcement_test.cpp
@@ -104,3 +104,13 @@
     }
     cr_assert(decode_departure("[\"" + std::string(2000, 'a') + "\",1]").has_error());
 }
+
+/** It replaced the known target until that announced itself again. */
+Test(announcement, announcement_without_a_start_time_replaced_a_target_that_has_one)
+{
+    announcement_order order;
+    order.take(make_announcement("a", 100, 5));
+    cr_assert(order.take(make_announcement("b", 0, 9)) == announcement_result::stale);
+    cr_assert(order.take(make_announcement("a", 0, 9)) == announcement_result::stale);
+    cr_assert(order.take(make_announcement("a", 100, 6)) == announcement_result::same);
+}
