Fix: two requests with one idempotency key shared an answer

Cause: requests were joined by their idempotency key alone, also where the answer repeats the id of the request.

Change: the request id is part of the key by which requests are joined, in dialects that have one. A request that is sent again under its own id still joins.

--- a/src/call/entry.cpp
+++ b/src/call/entry.cpp
@@ -244,21 +244,22 @@
     return kind.m_split[best].m_service;
 }
 
-/** Returns the key by which re-sends of @p new_call are found; empty without an idempotency key. */
-std::string entry::join_key(const open_call& new_call)
+/** Returns the key by which re-sends of @p new_call with @p headers are found; empty without an idempotency
+ * key. The answer repeats the request id, so that only requests with the same one can share it. */
+std::string entry::join_key(const open_call& new_call, const header_list& headers) const
 {
     const call& outbound = new_call.m_call;
     if (outbound.m_idempotency_key.empty()) {
         return {};
     }
     return outbound.m_service.m_value + '\n' + outbound.m_idempotency_key + '\n' +
-           std::to_string(outbound.m_fingerprint);
+           std::to_string(outbound.m_fingerprint) + '\n' + request_id_of(m_settings.m_dialect, headers);
 }
 
 /** Joins @p request to the same request in progress. @return false if there is none. */
 bool entry::join(const entry_request& request, const open_call& new_call)
 {
-    const std::string key = join_key(new_call);
+    const std::string key = join_key(new_call, request.m_headers);
     const auto position = key.empty() ? m_keys.end() : m_keys.find(key);
     if (position == m_keys.end() || new_call.m_parent.has_value()) {
         return false;
@@ -273,7 +274,7 @@
 {
     const call_number number = ++m_last_number;
     m_exchanges.emplace(new_call.m_waiters.front(), number);
-    const std::string key = join_key(new_call);
+    const std::string key = join_key(new_call, new_call.m_call.m_headers);
     if (!key.empty()) {
         m_keys.emplace(key, number);
     }
@@ -308,7 +309,7 @@
 /** Stops further re-sends from joining the call @p number. */
 void entry::remove_key(call_number number, const open_call& current)
 {
-    const auto key = m_keys.find(join_key(current));
+    const auto key = m_keys.find(join_key(current, current.m_call.m_headers));
     if (key != m_keys.end() && key->second == number) {
         m_keys.erase(key);
     }
--- a/src/call/entry_base.h
+++ b/src/call/entry_base.h
@@ -157,7 +157,7 @@
     const service_name& choose_service(const kind_object& kind);
     answer prepare_sub_call(instant now, const parent_reference& reference, open_call& new_call);
     bool join(const entry_request& request, const open_call& new_call);
-    static std::string join_key(const open_call& new_call);
+    std::string join_key(const open_call& new_call, const header_list& headers) const;
     void remove_key(call_number number, const open_call& current);
     void open(instant now, open_call new_call, std::vector<entry_action>& actions);
     void send_attempt(instant now, call_number number, open_call& current,
--- a/test/entry_test.cpp
+++ b/test/entry_test.cpp
@@ -297,6 +297,18 @@
     cr_assert(std::holds_alternative<entry_send>(fixture.send_request("/plain/x", {{"Id", "r1.a"}})));
 }
 
+/** A request got the answer to another one, with its id, and an order was not run. */
+Test(entry, requests_with_one_idempotency_key_and_two_ids_shared_an_answer)
+{
+    entry_fixture fixture;
+    const header_list first{{"Id", "r1"}, {"Idempotency-Key", "k"}};
+    const header_list second{{"Id", "r2"}, {"Idempotency-Key", "k"}};
+    cr_assert(std::holds_alternative<entry_send>(fixture.send_request("/order/x", first)));
+    const entry_action other = fixture.send_request("/order/x", second);
+    cr_assert(*find_header(sent_call(other).m_headers, "Id") == "r2");
+    cr_assert(fixture.m_entry.counters().m_joined == 0 && fixture.m_entry.in_progress() == 2);
+}
+
 /** Late in a planned stop, sub-calls were passed on that the end of the process cut. */
 Test(entry, a_call_passed_on_late_in_a_planned_stop_was_cut_without_an_answer)
 {
