--- a/src/link/liveness_base.h
+++ b/src/link/liveness_base.h
@@ -24,9 +24,9 @@
 };
 
 /**
- * Decides when to ping a link and when to close it as dead. A link that owes an answer is pinged early, since
- * the call may be lost on a connection that went silent without a reset. Thread safety: for use by one thread
- * only.
+ * Decides when to ping a link and when to close it as dead. A link on which an answer is due is pinged
+ * early, since the call may be lost on a connection that went silent without a reset. Thread safety: for use
+ * by one thread only.
  */
 class liveness {
 public:
@@ -88,9 +88,9 @@
     instant ping_due() const
     {
         const instant heartbeat_due = std::max(m_last_received_at, m_last_pinged_at) + m_settings.m_heartbeat;
-        const bool owes_answer = m_request_sent_at != instant::max() && m_answer_due_at == instant::max();
-        return owes_answer ? std::min(heartbeat_due, m_request_sent_at + m_settings.m_request_patience)
-                           : heartbeat_due;
+        const bool awaits_answer = m_request_sent_at != instant::max() && m_answer_due_at == instant::max();
+        return awaits_answer ? std::min(heartbeat_due, m_request_sent_at + m_settings.m_request_patience)
+                             : heartbeat_due;
     }
 
     /** Returns when the link is to be closed if nothing is received. */
--- a/test/platform_restore_store.h
+++ b/test/platform_restore_store.h
@@ -18,16 +18,19 @@
 struct store_fixture {
     event_loop m_loop;
     std::unique_ptr<http_server> m_server;
-    std::unique_ptr<storage> m_store;    ///< Client under test.
-    std::uint64_t m_era = 1;             ///< Number of restorations, plus one.
-    std::uint64_t m_counter = 0;         ///< Version of the last write.
-    std::uint64_t m_row_version = 0;     ///< Version of the operator's row.
-    std::uint64_t m_row_revision = 0;    ///< Revision in the operator's row.
-    json m_resources = json::array();    ///< Routes and services in the operator's row.
-    bool m_names_era = true;             ///< Whether answers have the header with the era.
-    bool m_is_down = false;              ///< Whether all calls are refused.
-    bool m_are_feeds_silent = false;     ///< Whether feeds that wait are never answered.
-    int m_reads = 0;                     ///< Reads of the operator's row.
+    std::unique_ptr<storage> m_store;   ///< Client under test.
+    std::uint64_t m_era = 1;            ///< Number of restorations, plus one.
+    std::uint64_t m_counter = 0;        ///< Version of the last write.
+    std::uint64_t m_row_version = 0;    ///< Version of the operator's row.
+    std::uint64_t m_row_revision = 0;   ///< Revision in the operator's row.
+    json m_resources = json::array();   ///< Routes and services in the operator's row.
+    bool m_names_era = true;            ///< Whether answers have the header with the era.
+    bool m_is_down = false;             ///< Whether all calls are refused.
+    bool m_are_feeds_silent = false;    ///< Whether feeds that wait are never answered.
+    int m_reads = 0;                    ///< Reads of the operator's row.
+    bool m_fails_feeds_on_read = false; ///< Whether the next read of that row fails the feeds, and is late.
+    exchange_id m_late_read;            ///< That read.
+    timer m_late_answer{m_loop, [this] { answer_read(m_late_read); }};
     std::vector<exchange_id> m_feeds;    ///< Feeds that wait for a change.
     std::vector<http_request> m_commits; ///< Transactions received; answered by m_on_commit.
     int m_restorations = 0;              ///< Restorations that the client reported.
@@ -81,9 +84,7 @@
     void restore(std::uint64_t revision, std::uint64_t version)
     {
         m_is_down = true;
-        for (const exchange_id feed : std::exchange(m_feeds, {})) {
-            reply(feed, 503, json::object());
-        }
+        fail_feeds();
         ++m_era;
         m_row_revision = revision;
         m_row_version = version;
@@ -135,9 +136,15 @@
             return reply(request.m_exchange, 200, {{"ver", ++m_counter}});
         }
         if (request.m_path.find("/rows-get") == 0) {
-            m_reads += request.m_path.find("from=config") != std::string::npos ? 1 : 0;
-            return reply(request.m_exchange, 200,
-                         {{"rows", json::array({row()})}, {"hasMore", false}, {"ver", m_counter}});
+            const bool is_row_read = request.m_path.find("from=config") != std::string::npos;
+            m_reads += is_row_read ? 1 : 0;
+            if (is_row_read && std::exchange(m_fails_feeds_on_read, false)) {
+                fail_feeds();
+                m_late_read = request.m_exchange;
+                m_late_answer.set(std::chrono::milliseconds(50));
+                return;
+            }
+            return answer_read(request.m_exchange);
         }
         const std::uint64_t after = std::stoull(request.m_path.substr(request.m_path.find("after=") + 6));
         if (after > m_counter) {
@@ -149,6 +156,18 @@
         m_feeds.push_back(request.m_exchange);
     }
 
+    void fail_feeds()
+    {
+        for (const exchange_id feed : std::exchange(m_feeds, {})) {
+            reply(feed, 503, json::object());
+        }
+    }
+
+    void answer_read(exchange_id read)
+    {
+        reply(read, 200, {{"rows", json::array({row()})}, {"hasMore", false}, {"ver", m_counter}});
+    }
+
     void reply(exchange_id id, std::uint16_t status, const json& body)
     {
         const header_list headers{{"Store-Era", std::to_string(m_era)}};
--- a/test/platform_restore_test.cpp
+++ b/test/platform_restore_test.cpp
@@ -254,3 +254,20 @@
     fixture.run(std::chrono::milliseconds(2500));
     cr_assert(fixture.m_reads == reads + 1, "%d", fixture.m_reads - reads);
 }
+
+/** A check of the feed that is answered after the feed has failed must not use the version that it had. */
+Test(platform_restore, a_check_of_a_feed_that_fails_meanwhile_changes_nothing)
+{
+    store_fixture fixture;
+    fixture.write(8);
+    fixture.watch();
+    cr_assert(fixture.runs_until(8) && fixture.runs_until_feed_waits());
+    fixture.m_fails_feeds_on_read = true;
+    fixture.m_are_feeds_silent = true;
+    fixture.write(9);
+    cr_assert(fixture.runs_until(9));
+    fixture.m_are_feeds_silent = false;
+    cr_assert(fixture.runs_until_feed_waits());
+    fixture.write(10);
+    cr_assert(fixture.runs_until(10));
+}
