--- a/src/base/id_type.h
+++ b/src/base/id_type.h
@@ -68,7 +68,9 @@
 using node_id = name_id<struct node_tag>;         ///< A node, by the name in its settings.
 using service_name = name_id<struct service_tag>; ///< A service, by its name in the configuration.
 using caller_name = name_id<struct caller_tag>;   ///< A caller, by its name in the configuration.
-using kind_name = name_id<struct kind_tag>;       ///< A request kind, by its name in the configuration.
+using organisation_name =
+    name_id<struct organisation_tag>;       ///< An organisation, by its name in the configuration.
+using kind_name = name_id<struct kind_tag>; ///< A request kind, by its name in the configuration.
 using data_centre_name = name_id<struct data_centre_tag>; ///< A data centre.
 using region_name = name_id<struct region_tag>;           ///< A region.
 
--- a/src/base/rule_type.h
+++ b/src/base/rule_type.h
@@ -48,9 +48,15 @@
     too_many_connections, ///< The number of caller connections is at its limit.
     not_ready,            ///< The node has no configuration in force yet.
     unauthorised,         ///< The operator's token is missing or wrong.
-    not_found,            ///< The path of the operators' interface does not exist.
-    conflict,             ///< Another operator's change was committed first.
-    internal              ///< An internal fault of the node.
+    unknown_key,          ///< The request has no key, or one that no organisation holds.
+    keys_unconfirmed, ///< The configuration is not known to be current, so that keys may have been withdrawn.
+    unknown_parent,   ///< A sub-call without a key whose parent call is not known.
+    quota_exceeded,   ///< The organisation is above its quota.
+    quota_unavailable, ///< No owner of the organisation's quota answers.
+    out_of_memory,     ///< The node holds too many bytes to take the request.
+    not_found,         ///< The path of the operators' interface does not exist.
+    conflict,          ///< Another operator's change was committed first.
+    internal           ///< An internal fault of the node.
 };
 
 /** How a rule is reported to callers. */
--- a/src/base/unit_type.h
+++ b/src/base/unit_type.h
@@ -23,6 +23,19 @@
 /** A point in monotonic time; not comparable between processes. */
 using instant = monotonic_clock::time_point;
 
+/** The clock of decisions that must count the time in which the machine is suspended, which the monotonic
+ * clock does not. It has no `now` either. */
+struct boot_clock {
+    using duration = waxwing::duration;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<boot_clock>;
+    static constexpr bool is_steady = true;
+};
+
+/** A point in time since the machine was started; not comparable between machines, nor with an instant. */
+using boot_instant = boot_clock::time_point;
+
 /** Milliseconds since the Unix epoch; for records read by people, never for decisions. */
 using wall_time = std::chrono::time_point<std::chrono::system_clock, std::chrono::milliseconds>;
 
--- a/src/call/dialect_type.h
+++ b/src/call/dialect_type.h
@@ -24,6 +24,8 @@
     std::string_view m_rate_limit = {};    ///< Answer of a target: requests a second that it takes from all
                                            ///< callers, a decimal number, until an answer lacks it.
     std::string_view m_leaving = {}; ///< Answer of a target: "1" if the target leaves and takes no new work.
+    std::string_view m_organisation = {}; ///< Request to a target: the organisation whose key the caller
+                                          ///< sent. A value set by the caller is removed.
 };
 
 /** Returns the request id in @p headers; empty if there is none. */
--- a/src/call/entry_base.h
+++ b/src/call/entry_base.h
@@ -27,6 +27,7 @@
     bool m_local = false;          ///< Whether it was sent from this machine, and so may be a sub-call.
     bool m_over_connection_limit =
         false; ///< Whether its connection exceeds the limit, so that the request is refused.
+    boot_instant m_received_at{}; ///< When the whole request had arrived.
 };
 
 /** Settings of an entry. */
@@ -36,6 +37,10 @@
     service_name m_service;         ///< Service of the target beside this node; empty if there is no target.
     control_mode m_mode = control_mode::full; ///< How much of the overload control is active.
     request_dialect m_dialect;                ///< Header names.
+    /** Whether requests that need a key are refused while the configuration is not known to be current. */
+    bool m_fail_closed = false;
+    /** With m_fail_closed: a key runs no request sent this long after its withdrawal was accepted. */
+    duration m_revocation_timeout = std::chrono::seconds(5);
 };
 
 /** Counters of an entry since its start. */
--- a/src/config/config_type.h
+++ b/src/config/config_type.h
@@ -50,6 +50,7 @@
     duration m_objective{};       ///< Latency objective of answers; zero for the deadline.
     std::uint32_t m_attempts = 3; ///< Limit for the targets that one request is sent to.
     std::string m_retry;          ///< Name of the retry policy.
+    bool m_public = false;        ///< Whether its requests need no key of an organisation.
 };
 
 /** `[caller NAME]`: an external client. */
@@ -58,6 +59,15 @@
     share_settings m_share; ///< Its fair share under overload.
 };
 
+/** `[organisation NAME]`: an organisation whose callers send requests with one of its keys. */
+struct organisation_object {
+    organisation_name m_name;        ///< Name, as its targets get it.
+    std::vector<std::string> m_keys; ///< Salted hashes of its keys, in hexadecimal.
+    std::uint8_t m_priority = 3;     ///< 0 is the highest; goes before the importance of the request kind.
+    double m_rate = 0.0;             ///< Requests a second over all nodes; 0 for no limit.
+    double m_burst = 0.0;            ///< Requests that may arrive at once after an idle period.
+};
+
 /** Limits on the requests of callers. */
 struct caller_limits {
     std::uint32_t m_max_header_bytes = 64 * 1024;          ///< Request line and headers.
@@ -70,9 +80,11 @@
 
 /** A whole configuration. Names are unique per object type. */
 struct config_set {
-    std::map<service_name, service_object> m_services;      ///< By name.
-    std::map<kind_name, kind_object> m_kinds;               ///< By name.
-    std::map<caller_name, caller_object> m_callers;         ///< By name.
+    std::map<service_name, service_object> m_services;                ///< By name.
+    std::map<kind_name, kind_object> m_kinds;                         ///< By name.
+    std::map<caller_name, caller_object> m_callers;                   ///< By name.
+    std::map<organisation_name, organisation_object> m_organisations; ///< By name.
+    std::string m_key_salt; ///< `[limits fleet]` key_salt: salt of the hashes of keys.
     std::map<std::string, admission_settings> m_admissions; ///< `[admission NAME]` by name.
     std::map<std::string, router_settings> m_routings;      ///< `[routing NAME]` by name.
     std::map<std::string, retry_settings> m_retries;        ///< `[retry NAME]` by name.
--- a/src/link/message_type.h
+++ b/src/link/message_type.h
@@ -29,7 +29,9 @@
 /** Subject of a control_message, which selects the library that decodes it. */
 enum class control_topic {
     configuration, ///< Revisions in force and deltas; src/config.
-    quarantine     ///< Requests that crash targets; src/policy.
+    quarantine,    ///< Requests that crash targets; src/policy.
+    confirmation,  ///< Revisions known to be the newest ones; src/config.
+    quota          ///< Tokens of organisations; src/policy.
 };
 
 /** A control plane message; its payload is CBOR encoded by the topic's library. */
--- a/src/link/table/names.h
+++ b/src/link/table/names.h
@@ -7,7 +7,7 @@
 namespace waxwing {
 
 /** Names of control_topic on the wire, in the order of its values. */
-inline constexpr name_table<2> control_topic_names{"configuration", "quarantine"};
+inline constexpr name_table<4> control_topic_names{"configuration", "quarantine", "confirmation", "quota"};
 
 } // namespace waxwing
 
--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -25,6 +25,13 @@
     return instant{std::chrono::seconds(time.tv_sec) + duration(time.tv_nsec)};
 }
 
+boot_instant event_loop::boot_now()
+{
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return boot_instant{std::chrono::seconds(time.tv_sec) + duration(time.tv_nsec)};
+}
+
 wall_time event_loop::wall_now()
 {
     return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
--- a/src/loop/loop.h
+++ b/src/loop/loop.h
@@ -24,6 +24,9 @@
     /** Returns the current monotonic time, read from the clock on each call. */
     static instant now();
 
+    /** Returns the time since the start of the machine, the time in which it was suspended included. */
+    static boot_instant boot_now();
+
     /** Returns the wall-clock time, for records only. */
     static wall_time wall_now();
 
--- a/src/node/call_task.cpp
+++ b/src/node/call_task.cpp
@@ -122,7 +122,8 @@
     if (auto* const received = std::get_if<http_request>(&event)) {
         const bool local = m_settings.m_sub_calls == sub_call_sign::request_id &&
                            received->m_peer == m_settings.m_callers.m_host;
-        m_entry.on_request(now, to_entry_request(std::move(*received), local), m_entry_actions);
+        m_entry.on_request(now, to_entry_request(std::move(*received), local, event_loop::boot_now()),
+                           m_entry_actions);
     }
     else {
         m_entry.on_caller_disconnected(now, std::get<http_client_disconnected>(event).m_exchange,
--- a/src/node/http_conversion.cpp
+++ b/src/node/http_conversion.cpp
@@ -70,7 +70,7 @@
 
 } // namespace
 
-entry_request to_entry_request(http_request&& received, bool local)
+entry_request to_entry_request(http_request&& received, bool local, boot_instant now)
 {
     return entry_request{received.m_exchange,
                          std::move(received.m_method),
@@ -79,7 +79,8 @@
                          std::move(received.m_body),
                          received.m_body_too_large,
                          local,
-                         received.m_over_connection_limit};
+                         received.m_over_connection_limit,
+                         now};
 }
 
 http_reply to_http_reply(entry_reply&& reply_data, const request_dialect& dialect)
--- a/src/node/http_conversion_func.h
+++ b/src/node/http_conversion_func.h
@@ -9,8 +9,9 @@
 
 namespace waxwing {
 
-/** Converts a caller's HTTP request. @param local whether it came from this machine. */
-entry_request to_entry_request(http_request&& received, bool local);
+/** Converts a caller's HTTP request, which has arrived at @p now. @param local whether it came from this
+ * machine. */
+entry_request to_entry_request(http_request&& received, bool local, boot_instant now);
 
 /** Converts a reply to a caller: the target's answer, or a problem response that names the rule. */
 http_reply to_http_reply(entry_reply&& reply_data, const request_dialect& dialect);
--- a/test/link_message_generators.h
+++ b/test/link_message_generators.h
@@ -80,7 +80,7 @@
     case 2:
         return waxwing::cancel_message{{any<std::uint64_t>()}};
     default:
-        return waxwing::control_message{static_cast<waxwing::control_topic>(*rc::gen::inRange(0, 2)),
+        return waxwing::control_message{static_cast<waxwing::control_topic>(*rc::gen::inRange(0, 4)),
                                         any<std::string>()};
     }
 }
