--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -8,6 +8,7 @@
 #include "policy/admission_base.h"
 #include "policy/caller_share_base.h"
 #include "policy/quarantine_base.h"
+#include "policy/quota_base.h"
 #include "policy/retry_base.h"
 #include "policy/router_base.h"
 #include "policy/settings_type.h"
