Add: organisations, their keys, the salt and public kinds in the configuration

Organisations had types but no INI keys, so that no configuration could hold them.

Errors never quote the value of `keys`, which may be a key that was not hashed. The limit of a line rises from 4,096 to 65,536 bytes, since a line holds the hashes of all keys of an organisation: 4,096 bytes were 123 of them, and one more would have made the whole set unreadable.

--- a/src/config/check_func.cpp
+++ b/src/config/check_func.cpp
@@ -33,6 +33,7 @@
             check_split(heading_of(object_type::kind, name.m_value), kind);
         }
         check_matches();
+        check_holders();
         check_chains();
         return std::move(m_errors);
     }
@@ -188,6 +189,24 @@
         }
     }
 
+    /** Adds an error for each organisation with a key that another one holds, too. The error does not quote
+     * the hash. */
+    void check_holders()
+    {
+        std::map<std::string_view, organisation_name> holders;
+        for (const auto& [name, organisation] : m_set.m_organisations) {
+            const std::string heading = heading_of(object_type::organisation, name.m_value);
+            for (const std::string& hash : organisation.m_keys) {
+                const auto [first, added] = holders.emplace(hash, name);
+                if (!added && first->second != name) {
+                    add_error(heading, "keys",
+                              "keys has a hash that the organisation " + first->second.m_value +
+                                  " holds, too");
+                }
+            }
+        }
+    }
+
     /** Adds an error for each call cycle, and for each service whose longest call chain exceeds the depth. */
     void check_chains()
     {
--- a/src/config/ini_func.h
+++ b/src/config/ini_func.h
@@ -9,8 +9,9 @@
 
 namespace waxwing {
 
-/** Limit for the length of a line, in bytes. */
-inline constexpr std::size_t ini_line_limit = 4096;
+/** Limit for the length of a line, in bytes; a line must hold the hashes of all keys of an organisation, 33
+ * bytes each. */
+inline constexpr std::size_t ini_line_limit = 65536;
 
 /** One key with its value. */
 struct ini_key {
--- a/src/config/key_type.h
+++ b/src/config/key_type.h
@@ -11,17 +11,18 @@
 namespace waxwing {
 
 /** Types of objects, in the order in which write_config writes them. */
-enum class object_type { limits, admission, routing, retry, service, kind, caller };
+enum class object_type { limits, admission, routing, retry, service, kind, caller, organisation };
 
 /** Names of the object types, as in headings. */
-inline constexpr name_table<7> object_type_names{"limits",  "admission", "routing", "retry",
-                                                 "service", "kind",      "caller"};
+inline constexpr name_table<8> object_type_names{"limits",  "admission", "routing", "retry",
+                                                 "service", "kind",      "caller",  "organisation"};
 
 /** Syntax of a text value. */
 enum class text_form {
     path,     ///< Begins with `/`; visible ASCII without `?`, `#` and `;`.
     host,     ///< A host name in lower case, without port.
     method,   ///< An HTTP method in capitals.
+    salt,     ///< Visible ASCII without `;` and `#`, which begin comments.
     reference ///< The name of another object.
 };
 
@@ -54,10 +55,11 @@
 
 /** The member that a key sets. */
 template<class Object>
-using key_field = std::variant<text_field<Object>, names_field<Object>, split_field<Object>,
-                               value_field<Object, bool>, value_field<Object, std::uint8_t>,
-                               value_field<Object, std::uint16_t>, value_field<Object, std::uint32_t>,
-                               value_field<Object, double>, value_field<Object, duration>>;
+using key_field =
+    std::variant<text_field<Object>, names_field<Object>, split_field<Object>, value_field<Object, bool>,
+                 value_field<Object, std::uint8_t>, value_field<Object, std::uint16_t>,
+                 value_field<Object, std::uint32_t>, value_field<Object, double>,
+                 value_field<Object, duration>, value_field<Object, std::vector<std::string>>>;
 
 /** Class and value type of a pointer to member. */
 template<class Member>
--- a/src/config/read_func.cpp
+++ b/src/config/read_func.cpp
@@ -83,9 +83,11 @@
         const std::string name = name_begin == std::string::npos ? "" : source.m_heading.substr(name_begin);
         const std::optional<object_type> type = value_in<object_type>(object_type_names, type_name);
         if (!type) {
-            add_error(position,
-                      "unknown object type \"" + type_name +
-                          "\"; the types are service, kind, caller, admission, routing, retry and limits");
+            add_error(
+                position,
+                "unknown object type \"" + type_name +
+                    "\"; the types are service, kind, caller, organisation, admission, routing, retry and "
+                    "limits");
             return;
         }
         for_each_section(m_sections, [&](auto& each) {
--- a/src/config/section_func.cpp
+++ b/src/config/section_func.cpp
@@ -42,15 +42,17 @@
         {object_type::limits, fleet_keys, {}},    {object_type::admission, admission_keys, {}},
         {object_type::routing, routing_keys, {}}, {object_type::retry, retry_keys, {}},
         {object_type::service, service_keys, {}}, {object_type::kind, kind_keys, {}},
-        {object_type::caller, caller_keys, {}}};
+        {object_type::caller, caller_keys, {}},   {object_type::organisation, organisation_keys, {}}};
 }
 
 section_list split_set(const config_set& set)
 {
     section_list sections = make_sections();
-    auto& [limits, admissions, routings, retries, services, kinds, callers] = sections;
-    if (set.m_max_depth != fleet_limits{}.m_depth || set.m_caller_limits != caller_limits{}) {
-        limits.m_objects.emplace(fleet_name, fleet_limits{set.m_max_depth, set.m_caller_limits});
+    auto& [limits, admissions, routings, retries, services, kinds, callers, organisations] = sections;
+    if (set.m_max_depth != fleet_limits{}.m_depth || set.m_caller_limits != caller_limits{} ||
+        !set.m_key_salt.empty()) {
+        limits.m_objects.emplace(fleet_name,
+                                 fleet_limits{set.m_max_depth, set.m_caller_limits, set.m_key_salt});
     }
     copy_objects(set.m_admissions, admissions.m_objects);
     copy_objects(set.m_routings, routings.m_objects);
@@ -58,6 +60,7 @@
     copy_objects(set.m_services, services.m_objects);
     copy_objects(set.m_kinds, kinds.m_objects);
     copy_objects(set.m_callers, callers.m_objects);
+    copy_objects(set.m_organisations, organisations.m_objects);
     if (!equal_shares(set.m_unknown_callers, share_settings{})) {
         callers.m_objects.emplace(other_callers_name, caller_object{{}, set.m_unknown_callers});
     }
@@ -66,11 +69,12 @@
 
 config_set join_sections(const section_list& sections)
 {
-    const auto& [limits, admissions, routings, retries, services, kinds, callers] = sections;
+    const auto& [limits, admissions, routings, retries, services, kinds, callers, organisations] = sections;
     config_set set;
     if (const auto fleet = limits.m_objects.find(std::string(fleet_name)); fleet != limits.m_objects.end()) {
         set.m_max_depth = fleet->second.m_depth;
         set.m_caller_limits = fleet->second.m_caller;
+        set.m_key_salt = fleet->second.m_key_salt;
     }
     set.m_admissions = admissions.m_objects;
     set.m_routings = routings.m_objects;
@@ -78,6 +82,7 @@
     name_objects(services.m_objects, set.m_services);
     name_objects(kinds.m_objects, set.m_kinds);
     name_objects(callers.m_objects, set.m_callers);
+    name_objects(organisations.m_objects, set.m_organisations);
     const caller_name others{std::string(other_callers_name)};
     if (const auto found = set.m_callers.find(others); found != set.m_callers.end()) {
         set.m_unknown_callers = found->second.m_share;
--- a/src/config/section_func.h
+++ b/src/config/section_func.h
@@ -26,7 +26,7 @@
 /** All objects, in the order of object_type. */
 using section_list = std::tuple<section<fleet_limits>, section<admission_settings>, section<router_settings>,
                                 section<retry_settings>, section<service_object>, section<kind_object>,
-                                section<caller_object>>;
+                                section<caller_object>, section<organisation_object>>;
 
 /** Returns the sections without objects. */
 section_list make_sections();
--- a/src/config/table/keys.h
+++ b/src/config/table/keys.h
@@ -13,9 +13,10 @@
 struct fleet_limits {
     std::uint8_t m_depth = config_set{}.m_max_depth; ///< Limit for call chains.
     caller_limits m_caller;                          ///< Limits on callers' requests.
+    std::string m_key_salt;                          ///< Salt of the hashes of keys.
 };
 
-inline const std::array<key_info<fleet_limits>, 5> fleet_keys{{
+inline const std::array<key_info<fleet_limits>, 6> fleet_keys{{
     {"depth", value_at<&fleet_limits::m_depth>(), key_presence::optional, "1", "64",
      "Maximum length of a call chain; longer chains are refused as loops"},
     {"header_bytes", value_at<&fleet_limits::m_caller, &caller_limits::m_max_header_bytes>(),
@@ -27,6 +28,8 @@
      key_presence::optional, "10ms", "1h", "Time within which a caller's request must arrive"},
     {"idle_time", value_at<&fleet_limits::m_caller, &caller_limits::m_idle_timeout>(), key_presence::optional,
      "10ms", "1h", "Callers' connections without traffic are closed after this time"},
+    {"key_salt", text_at<&fleet_limits::m_key_salt>(text_form::salt), key_presence::optional, "", "",
+     "Salt of the hashes of the keys of organisations"},
 }};
 
 inline const std::array<key_info<admission_settings>, 9> admission_keys{{
@@ -98,7 +101,7 @@
      "Connections that one target accepts; 0 uses the number that the target reports"},
 }};
 
-inline const std::array<key_info<kind_object>, 11> kind_keys{{
+inline const std::array<key_info<kind_object>, 12> kind_keys{{
     {"service",
      text_at<&kind_object::m_service, &service_name::m_value>(text_form::reference, object_type::service),
      key_presence::required, "", "", "The service that it calls"},
@@ -122,6 +125,8 @@
      "Maximum number of targets that one request is sent to"},
     {"retry", text_at<&kind_object::m_retry>(text_form::reference, object_type::retry),
      key_presence::required, "", "", "Retry policy"},
+    {"public", value_at<&kind_object::m_public>(), key_presence::optional, "", "",
+     "Whether its requests need no key of an organisation"},
 }};
 
 inline const std::array<key_info<caller_object>, 3> caller_keys{{
@@ -133,6 +138,18 @@
      "1000", "Weight of the fair share under overload, relative to other callers"},
 }};
 
+inline const std::array<key_info<organisation_object>, 4> organisation_keys{{
+    {"keys", value_at<&organisation_object::m_keys>(), key_presence::optional, "", "",
+     "Hashes of its keys, separated by spaces: the first 32 hexadecimal digits of SHA-256 over key_salt, `:` "
+     "and the key"},
+    {"priority", value_at<&organisation_object::m_priority>(), key_presence::optional, "0", "255",
+     "0 is the highest; goes before the importance of the request kind; 3 and more rank alike"},
+    {"rate", value_at<&organisation_object::m_rate>(), key_presence::optional, "0", "1000000",
+     "Requests per second over all nodes; 0 for no limit"},
+    {"burst", value_at<&organisation_object::m_burst>(), key_presence::optional, "0", "1000000",
+     "Requests that may arrive at once after an idle period; below 1 counts as 1 where there is a rate"},
+}};
+
 } // namespace waxwing
 
 #endif
--- a/src/config/value_func.cpp
+++ b/src/config/value_func.cpp
@@ -1,6 +1,8 @@
 /** @file value_func.cpp Parsing and formatting of key values. */
 #include "config/value_func.h"
 
+#include "config/organisation_index_base.h"
+
 #include <algorithm>
 #include <array>
 #include <boost/outcome/try.hpp>
@@ -28,6 +30,7 @@
 constexpr std::string_view digits = "0123456789";
 constexpr std::size_t path_limit = 255;
 constexpr std::size_t method_limit = 16;
+constexpr std::size_t salt_limit = 255;
 constexpr std::size_t host_limit = 253;           ///< Limit in bytes, which is that of the DNS.
 constexpr std::uint32_t weight_limit = 1'000'000; ///< Limit for the weight of one part of a split.
 
@@ -213,6 +216,28 @@
     return success();
 }
 
+result<void> parse_value(std::string_view text, const value_range& /*range*/, std::vector<std::string>& value)
+{
+    std::vector<std::string> hashes;
+    for (std::size_t position = text.find_first_not_of(" \t"); position != std::string_view::npos;) {
+        const std::size_t end = std::min(text.find_first_of(" \t", position), text.size());
+        const std::string_view hash = text.substr(position, end - position);
+        if (hash.size() != key_hash_size || hash.find_first_not_of("0123456789abcdef") != hash.npos) {
+            return fail(error_code::invalid, "the hash number " + std::to_string(hashes.size() + 1) +
+                                                 " is not " + std::to_string(key_hash_size) +
+                                                 " lower-case hexadecimal digits");
+        }
+        hashes.emplace_back(hash);
+        position = text.find_first_not_of(" \t", end);
+    }
+    std::sort(hashes.begin(), hashes.end());
+    if (std::adjacent_find(hashes.begin(), hashes.end()) != hashes.end()) {
+        return fail(error_code::invalid, "a hash is listed twice");
+    }
+    value = std::move(hashes);
+    return success();
+}
+
 result<void> parse_text(std::string_view text, text_form form, std::string& value)
 {
     const auto is_visible = [](char byte) { return byte > ' ' && byte < '\x7f'; };
@@ -237,6 +262,11 @@
         return fail_parse(text,
                           "a path that begins with / and contains no space, query, fragment or semicolon");
     }
+    if (form == text_form::salt &&
+        (text.empty() || text.size() > salt_limit || !std::all_of(text.begin(), text.end(), is_visible) ||
+         text.find_first_of(";#") != text.npos)) {
+        return fail_parse(text, "visible ASCII without space, semicolon and number sign");
+    }
     value = text;
     return success();
 }
@@ -293,6 +323,17 @@
     return text;
 }
 
+std::string write_value(const std::vector<std::string>& value)
+{
+    std::vector<std::string> items = value;
+    std::sort(items.begin(), items.end());
+    std::string text;
+    for (const std::string& item : items) {
+        text += (text.empty() ? "" : " ") + item;
+    }
+    return text;
+}
+
 std::string write_value(const std::string& value)
 {
     return value;
--- a/src/config/value_func.h
+++ b/src/config/value_func.h
@@ -46,6 +46,10 @@
 /** @copydoc parse_value */
 result<void> parse_value(std::string_view text, const value_range& range, std::vector<split_part>& value);
 
+/** @copydoc parse_value
+ * Reads hashes of keys. An error does not quote the text, which may be a key that was not hashed. */
+result<void> parse_value(std::string_view text, const value_range& range, std::vector<std::string>& value);
+
 /** Checks that @p text has the syntax @p form and copies it to @p value, which is left unchanged on error. */
 result<void> parse_text(std::string_view text, text_form form, std::string& value);
 
@@ -66,6 +70,8 @@
 /** @copydoc write_value */
 std::string write_value(const std::vector<split_part>& value);
 /** @copydoc write_value */
+std::string write_value(const std::vector<std::string>& value);
+/** @copydoc write_value */
 std::string write_value(const std::string& value);
 
 /** Parses @p text into the member of @p object that @p key sets. */
