Add: keys of organisations at the entry

Requests of outside callers were accepted from anybody. With organisations in force, the entry checks the key of each request after the kind and the size of the body: 401 with WWW-Authenticate for a missing or unknown one, 503 unknown-parent for a sub-call of this machine whose parent call is not known, 503 keys-unconfirmed where the deployment fails closed and entry::confirm was not called lately. Authorization and the field of the organisation's name are removed from every request that is passed on, and root requests with a key get the name. The priority of the organisation goes before the importance of the kind, one request in three ranks as of priority 0, and the fair shares of callers apply to organisations. A re-send joins only calls of its own organisation.

on_request is divided into check_request (up to the key) and accept (everything else), so that a request can wait for a token of a quota between them; needs_quota tells which have to. The headroom refers to the kinds of the highest configured priority: only the upper end of the queue's order can have a reserve. A first attempt that compared the importance within a band failed its test, since an ordinary call of a high band at the head of the queue held up the important one.

--- a/src/call/call.h
+++ b/src/call/call.h
@@ -6,6 +6,7 @@
 #include "call/call_action_type.h"
 #include "call/context_func.h"
 #include "call/entry_base.h"
+#include "call/organisation_func.h"
 #include "call/runner_base.h"
 #include "call/running_base.h"
 
--- a/src/call/entry.cpp
+++ b/src/call/entry.cpp
@@ -42,6 +42,7 @@
 {
     const std::shared_ptr<const config_set> previous_config = std::exchange(m_config, std::move(set));
     m_kinds = std::make_unique<const kind_index>(m_config);
+    m_organisations = std::make_unique<const organisation_index>(m_config);
     std::erase_if(m_splits, [this](const auto& item) { return !m_config->m_kinds.contains(item.first); });
     configure_shares(previous_config.get());
     for (auto& [service, routes] : m_routers) {
@@ -51,25 +52,6 @@
     std::erase_if(m_budgets, [this](const auto& item) { return !m_config->m_services.contains(item.first); });
 }
 
-/** Applies the limits of callers. What the callers of @p previous have used is kept, unless the limits of all
- * callers without an object have changed. */
-void entry::configure_shares(const config_set* previous)
-{
-    if (previous == nullptr || previous->m_unknown_callers != m_config->m_unknown_callers) {
-        m_shares = caller_shares(m_config->m_unknown_callers, m_random());
-    }
-    else {
-        for (const auto& [name, object] : previous->m_callers) {
-            if (!m_config->m_callers.contains(name)) {
-                m_shares.remove(name);
-            }
-        }
-    }
-    for (const auto& [name, object] : m_config->m_callers) {
-        m_shares.put(name, object.m_share);
-    }
-}
-
 void entry::put_target(instant now, const route_target& target)
 {
     router_of(target.m_service).put(now, target);
@@ -90,75 +72,109 @@
     new_call.m_waiters = {request.m_exchange};
     const result<request_fields> fields =
         read_request_fields(request.m_headers, m_settings.m_dialect.m_deadline);
-    const answer decision =
-        fields.has_error() ? refusal(rule::bad_header) : prepare(now, request, fields.value(), new_call);
-    if (is_refused(decision)) {
-        answer response = decision;
-        response.m_body = fields.has_error() ? fields.error().m_text : std::string{};
-        add_retry_after(response);
-        const bool root = fields.has_error() || !fields.value().m_parent.has_value();
-        const kind_name kind = new_call.m_kind == nullptr ? kind_name{} : new_call.m_kind->m_name;
-        update_parent(now, new_call, response);
-        entry_reply reply{request.m_exchange, kind, std::move(response), duration::zero(), root, {}, {}, {}};
-        reply.m_request_id = request_id_of(m_settings.m_dialect, request.m_headers);
-        reply.m_service = new_call.m_call.m_service;
-        reply.m_depth = new_call.m_call.m_context.m_depth;
-        actions.emplace_back(std::move(reply));
+    if (fields.has_error()) {
+        answer response = refusal(rule::bad_header);
+        response.m_body = fields.error().m_text;
+        refuse(now, request, true, new_call, std::move(response), actions);
         return;
     }
-    if (join(request, new_call)) {
+    const answer decision = check_request(now, request, fields.value(), new_call);
+    if (is_refused(decision)) {
+        refuse(now, request, is_root(fields.value(), new_call), new_call, decision, actions);
         return;
     }
-    new_call.m_call.m_method = std::move(request.m_method);
-    new_call.m_call.m_path = std::move(request.m_path);
-    new_call.m_call.m_headers = end_to_end_headers(request.m_headers);
-    const request_dialect& dialect = m_settings.m_dialect;
-    std::erase_if(new_call.m_call.m_headers, [&](const header& field) {
-        return equal_ignoring_case(field.m_name, dialect.m_deadline) ||
-               equal_ignoring_case(field.m_name, dialect.m_origin) ||
-               equal_ignoring_case(field.m_name, dialect.m_instance);
-    });
-    if (!dialect.m_origin.empty() && !m_settings.m_service.empty()) {
-        new_call.m_call.m_headers.push_back({std::string(dialect.m_origin), m_settings.m_service.m_value});
-    }
-    new_call.m_call.m_body = std::move(request.m_body);
-    open(now, std::move(new_call), actions);
+    // A request for which needs_quota holds has to spend a token before accept.
+    accept(now, std::move(request), fields.value(), std::move(new_call), actions);
+}
+
+/** Returns whether an outside caller sent @p new_call, as far as its headers tell. */
+bool entry::is_root(const request_fields& fields, const open_call& new_call)
+{
+    return new_call.m_has_key || !fields.m_parent.has_value();
 }
 
-/** Checks @p request against the configuration and fills in @p new_call, except for the message itself.
+/** Checks @p request up to its key, and fills in the kind, the deadline and the organisation of @p new_call.
  * @return proceed() or the refusal. */
-answer entry::prepare(instant now, const entry_request& request, const request_fields& fields,
-                      open_call& new_call)
+answer entry::check_request(instant now, const entry_request& request, const request_fields& fields,
+                            open_call& new_call)
 {
     if (m_config == nullptr) {
         return refusal(rule::not_ready);
     }
     new_call.m_config = m_config;
-    const config_set& set = *m_config;
     new_call.m_kind = m_kinds->find(fields.m_host, fields.m_kind, request.m_method, request.m_path);
     if (new_call.m_kind == nullptr) {
-        const bool is_service = set.m_services.contains(service_name{fields.m_host});
+        const bool is_service = m_config->m_services.contains(service_name{fields.m_host});
         return refusal(is_service ? rule::missing_kind : rule::unknown_service);
     }
     if (request.m_body_too_large) {
         return refusal(rule::body_too_large);
     }
+    const duration kind_deadline = new_call.m_kind->m_deadline;
+    new_call.m_deadline = now + std::min(fields.m_deadline.value_or(kind_deadline), kind_deadline);
+    return m_organisations->empty() ? proceed() : check_key(request, fields, new_call);
+}
+
+/** Handles @p request, which has passed check_request and has spent a token if needs_quota says so: sends the
+ * first attempt of @p new_call or refuses it. */
+void entry::accept(instant now, entry_request request, const request_fields& fields, open_call new_call,
+                   std::vector<entry_action>& actions)
+{
+    const answer decision = prepare(now, request, fields, new_call);
+    if (is_refused(decision)) {
+        refuse(now, request, is_root(fields, new_call), new_call, decision, actions);
+        return;
+    }
+    if (join(request, new_call)) {
+        return;
+    }
+    new_call.m_call.m_method = std::move(request.m_method);
+    new_call.m_call.m_path = std::move(request.m_path);
+    set_headers(request.m_headers, new_call);
+    new_call.m_call.m_body = std::move(request.m_body);
+    open(now, std::move(new_call), actions);
+}
+
+/** Answers @p request, which has not been sent to a target, with @p response. */
+void entry::refuse(instant now, const entry_request& request, bool root, const open_call& new_call,
+                   answer response, std::vector<entry_action>& actions)
+{
+    add_retry_after(response);
+    const kind_name kind = new_call.m_kind == nullptr ? kind_name{} : new_call.m_kind->m_name;
+    update_parent(now, new_call, response);
+    entry_reply reply{request.m_exchange, kind, std::move(response), duration::zero(), root, {}, {}, {}};
+    reply.m_request_id = request_id_of(m_settings.m_dialect, request.m_headers);
+    reply.m_service = new_call.m_call.m_service;
+    reply.m_depth = new_call.m_call.m_context.m_depth;
+    actions.emplace_back(std::move(reply));
+}
+
+/** Checks @p request, which has passed check_request, against everything else, and fills in @p new_call,
+ * except for the message itself.
+ * @return proceed() or the refusal. */
+answer entry::prepare(instant now, const entry_request& request, const request_fields& fields,
+                      open_call& new_call)
+{
     if (request.m_over_connection_limit) {
         return refusal(rule::too_many_connections);
     }
+    const config_set& set = *new_call.m_config;
     const kind_object& kind = *new_call.m_kind;
     const auto policy = set.m_retries.find(kind.m_retry);
     new_call.m_retry = policy == set.m_retries.end() ? retry_settings{} : policy->second;
     call& outbound = new_call.m_call;
     outbound.m_service = choose_service(kind);
     outbound.m_kind = kind.m_name;
-    outbound.m_caller = fields.m_caller;
+    outbound.m_caller =
+        set.m_organisations.empty() ? fields.m_caller : caller_name{new_call.m_organisation.m_value};
     outbound.m_idempotent = kind.m_idempotent;
     outbound.m_idempotency_key = fields.m_key;
     outbound.m_fingerprint = fingerprint_of(fields.m_host, request.m_method, request.m_path, request.m_body);
-    new_call.m_deadline = now + std::min(fields.m_deadline.value_or(kind.m_deadline), kind.m_deadline);
     answer decision = proceed();
-    if (fields.m_parent.has_value()) {
+    if (new_call.m_has_key) {
+        decision = prepare_root(now, new_call);
+    }
+    else if (fields.m_parent.has_value()) {
         decision = prepare_sub_call(now, *fields.m_parent, new_call);
     }
     else if (const auto parent = parent_of(request, new_call.m_deadline)) {
@@ -192,7 +208,7 @@
     call_context& context = new_call.m_call.m_context;
     const bool detached = context.m_depth > 0;
     context.m_root = detached ? context.m_root : root_id{m_random()};
-    context.m_priority = make_priority(new_call.m_kind->m_importance, context.m_root);
+    context.m_priority = make_priority(importance_of(new_call), context.m_root);
     new_call.m_granted_tokens = detached ? std::uint16_t{0} : new_call.m_retry.m_tokens;
     new_call.m_tokens = retry_tokens(new_call.m_granted_tokens);
     if (m_draining) {
@@ -208,7 +224,7 @@
         response.m_retry_after = share.m_retry_after;
         return response;
     }
-    context.m_priority = priority_of(new_call.m_kind->m_importance, share.m_cohort);
+    context.m_priority = priority_of(importance_of(new_call), share.m_cohort);
     if (m_thresholds.should_shed(now, kind, context.m_priority, m_random)) {
         return refusal(rule::shed);
     }
@@ -221,39 +237,18 @@
     return m_stop_at == instant::max() || now + kind.m_objective < m_stop_at;
 }
 
-/** Chooses the service of the next request of @p kind. A split uses smooth weighted round robin, so that each
- * part gets its exact portion at any time. */
-const service_name& entry::choose_service(const kind_object& kind)
-{
-    if (kind.m_split.empty()) {
-        return kind.m_service;
-    }
-    split_state& split = m_splits[kind.m_name];
-    if (split.m_parts != kind.m_split) {
-        split.m_parts = kind.m_split;
-        split.m_credits.assign(kind.m_split.size(), 0);
-    }
-    std::int64_t sum = 0;
-    std::size_t best = 0;
-    for (std::size_t index = 0; index < kind.m_split.size(); ++index) {
-        sum += kind.m_split[index].m_weight;
-        split.m_credits[index] += kind.m_split[index].m_weight;
-        best = split.m_credits[index] > split.m_credits[best] ? index : best;
-    }
-    split.m_credits[best] -= sum;
-    return kind.m_split[best].m_service;
-}
-
 /** Returns the key by which re-sends of @p new_call with @p headers are found; empty without an idempotency
- * key. The answer repeats the request id, so that only requests with the same one can share it. */
+ * key. The answer repeats the request id, so that only requests with the same one can share it; it belongs to
+ * one organisation. */
 std::string entry::join_key(const open_call& new_call, const header_list& headers) const
 {
     const call& outbound = new_call.m_call;
     if (outbound.m_idempotency_key.empty()) {
         return {};
     }
-    return outbound.m_service.m_value + '\n' + outbound.m_idempotency_key + '\n' +
-           std::to_string(outbound.m_fingerprint) + '\n' + request_id_of(m_settings.m_dialect, headers);
+    return new_call.m_organisation.m_value + '\n' + outbound.m_service.m_value + '\n' +
+           outbound.m_idempotency_key + '\n' + std::to_string(outbound.m_fingerprint) + '\n' +
+           request_id_of(m_settings.m_dialect, headers);
 }
 
 /** Joins @p request to the same request in progress. @return false if there is none. */
--- a/src/call/entry_attempt.cpp
+++ b/src/call/entry_attempt.cpp
@@ -1,4 +1,4 @@
-/** @file entry_attempt.cpp Attempts of a call: sending, retries and deadlines. */
+/** @file entry_attempt.cpp Attempts of a call: their targets, sending, retries and deadlines. */
 #include "call/entry_base.h"
 
 #include <algorithm>
@@ -83,6 +83,29 @@
     actions.emplace_back(entry_send{*node, current.m_attempt, std::move(outbound)});
 }
 
+/** Chooses the service of the next request of @p kind. A split uses smooth weighted round robin, so that each
+ * part gets its exact portion at any time. */
+const service_name& entry::choose_service(const kind_object& kind)
+{
+    if (kind.m_split.empty()) {
+        return kind.m_service;
+    }
+    split_state& split = m_splits[kind.m_name];
+    if (split.m_parts != kind.m_split) {
+        split.m_parts = kind.m_split;
+        split.m_credits.assign(kind.m_split.size(), 0);
+    }
+    std::int64_t sum = 0;
+    std::size_t best = 0;
+    for (std::size_t index = 0; index < kind.m_split.size(); ++index) {
+        sum += kind.m_split[index].m_weight;
+        split.m_credits[index] += kind.m_split[index].m_weight;
+        best = split.m_credits[index] > split.m_credits[best] ? index : best;
+    }
+    split.m_credits[best] -= sum;
+    return kind.m_split[best].m_service;
+}
+
 /**
  * Chooses the node of the next attempt: one not tried yet, while the kind allows another target; otherwise
  * the one whose target refused least recently, since a target that refuses only some of its calls may accept
--- a/src/call/entry_base.h
+++ b/src/call/entry_base.h
@@ -9,6 +9,7 @@
 #include "policy/policy.h"
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <utility>
@@ -28,6 +29,8 @@
     bool m_over_connection_limit =
         false; ///< Whether its connection exceeds the limit, so that the request is refused.
     boot_instant m_received_at{}; ///< When the whole request had arrived.
+    bool m_same_machine = false;  ///< Whether it came from this machine, so that its context can be that of a
+                                  ///< call here.
 };
 
 /** Settings of an entry. */
@@ -108,6 +111,14 @@
     /** Returns the number of calls in progress. */
     std::size_t in_progress() const { return m_calls.size(); }
 
+    /** Records that the configuration in force was known to be the newest one at @p confirmed_at; an earlier
+     * time than the recorded one changes nothing. */
+    void confirm(boot_instant confirmed_at);
+
+    /** Returns whether requests that need a key are accepted at @p now: always unless the deployment fails
+     * closed, else only shortly after the latest confirmation. */
+    bool is_confirmed(boot_instant now) const;
+
     const entry_counters& counters() const { return m_counters; }
 
     /** Returns the shedding threshold that applies to @p kind. */
@@ -140,6 +151,8 @@
         answer m_last_answer;                       ///< Answer of the last attempt, while a retry is pending.
         instant m_next_tick_at;                     ///< Key of the call in m_tick_times.
         std::optional<attempt_id> m_parent;         ///< Running call that makes this sub-call.
+        organisation_name m_organisation; ///< Whose key the root request carried; empty if there was none.
+        bool m_has_key = false;     ///< Whether the request itself carried a key; it is then a root request.
         bool m_is_sub_call = false; ///< Whether a target sent it, even if the parent call is unknown.
         std::vector<node_id> m_reached_nodes; ///< Nodes whose target received an attempt, without duplicates.
         std::vector<node_id>
@@ -153,10 +166,22 @@
     };
 
     void configure_shares(const config_set* previous);
+    answer check_request(instant now, const entry_request& request, const request_fields& fields,
+                         open_call& new_call);
+    answer check_key(const entry_request& request, const request_fields& fields, open_call& new_call);
+    bool needs_quota(const open_call& current) const;
+    void accept(instant now, entry_request request, const request_fields& fields, open_call new_call,
+                std::vector<entry_action>& actions);
+    void refuse(instant now, const entry_request& request, bool root, const open_call& new_call,
+                answer response, std::vector<entry_action>& actions);
+    static bool is_root(const request_fields& fields, const open_call& new_call);
+    static std::uint8_t importance_of(const open_call& current);
+    void set_headers(const header_list& received, open_call& new_call) const;
     answer prepare(instant now, const entry_request& request, const request_fields& fields,
                    open_call& new_call);
     answer prepare_root(instant now, open_call& new_call);
     bool ends_before_stop(instant now, const kind_object& kind) const;
+    running_call* parent_call(const parent_reference& reference);
     answer begin_sub_call(instant now, open_call& new_call, attempt_id parent_id, running_call& parent);
     std::optional<attempt_id> parent_of(const entry_request& request, instant deadline) const;
     const service_name& choose_service(const kind_object& kind);
@@ -185,7 +210,9 @@
     running_calls& m_running;
     random_source m_random;
     std::shared_ptr<const config_set> m_config;
-    std::unique_ptr<const kind_index> m_kinds; ///< Index of the kinds in m_config.
+    std::unique_ptr<const kind_index> m_kinds;                 ///< Index of the kinds in m_config.
+    std::unique_ptr<const organisation_index> m_organisations; ///< Index of the keys in m_config.
+    std::optional<boot_instant> m_confirmed_at; ///< When m_config was last known to be the newest one.
     std::unordered_map<kind_name, split_state> m_splits;
     std::unordered_map<service_name, router> m_routers; ///< Routers by service.
     threshold_table m_thresholds;
--- a/src/call/entry_sub_call.cpp
+++ b/src/call/entry_sub_call.cpp
@@ -16,6 +16,13 @@
 
 } // namespace
 
+/** Returns the running call that @p reference names; null if it does not run here. */
+running_call* entry::parent_call(const parent_reference& reference)
+{
+    running_call* const parent = m_running.find(reference.m_attempt);
+    return parent != nullptr && parent->m_context.m_root == reference.m_root ? parent : nullptr;
+}
+
 /**
  * Prepares a sub-call that carries a context. If its parent call does not run here, or no longer does, the
  * sub-call is treated as a request of its own: it gets no retry tokens, and of its context only the root id
@@ -27,8 +34,8 @@
     context.m_root = reference.m_root;
     context.m_depth = reference.m_depth < 255 ? static_cast<std::uint8_t>(reference.m_depth + 1) : 255;
     new_call.m_is_sub_call = true;
-    running_call* const parent = m_running.find(reference.m_attempt);
-    if (parent == nullptr || parent->m_context.m_root != reference.m_root) {
+    running_call* const parent = parent_call(reference);
+    if (parent == nullptr) {
         return prepare_root(now, new_call);
     }
     new_call.m_deadline = std::min(new_call.m_deadline, parent->m_deadline - sub_call_margin);
@@ -44,6 +51,9 @@
     context.m_repeat = parent.m_context.m_repeat;
     context.m_depth = static_cast<std::uint8_t>(std::min(parent.m_context.m_depth + 1, 255));
     new_call.m_call.m_caller = parent.m_caller;
+    if (!new_call.m_config->m_organisations.empty()) {
+        new_call.m_organisation.m_value = parent.m_caller.m_value;
+    }
     new_call.m_granted_tokens = parent.m_tokens.lend();
     new_call.m_tokens = retry_tokens(new_call.m_granted_tokens);
     new_call.m_parent = parent_id;
--- a/src/call/runner.cpp
+++ b/src/call/runner.cpp
@@ -1,6 +1,8 @@
 /** @file runner.cpp Calls at the node beside the target: arrival, admission and answers. */
 #include "call/runner_base.h"
 
+#include "call/organisation_func.h"
+
 #include <algorithm>
 
 namespace waxwing {
@@ -50,6 +52,7 @@
         const auto policy = m_config->m_admissions.find(service->second.m_admission);
         settings = policy == m_config->m_admissions.end() ? settings : policy->second;
     }
+    settings.m_headroom_importance = headroom_importance(*m_config, settings.m_headroom_importance);
     settings.m_limit.m_slots = m_settings.m_slots;
     settings.m_limit.m_floor = std::min(settings.m_limit.m_floor, m_settings.m_slots);
     if (m_settings.m_mode == control_mode::fixed_slots) {
--- a/src/node/call_task.cpp
+++ b/src/node/call_task.cpp
@@ -28,6 +28,15 @@
     return {settings.m_name, settings.m_data_centre, settings.m_service, settings.m_control, dialect};
 }
 
+/** Returns whether the IP address @p peer belongs to this machine, whose callers' listener is @p listener.
+ * Where sub-calls are recognised by request ids, only the listener's own address counts: several machines may
+ * then share the loopback network. */
+bool is_same_machine(const std::string& peer, const endpoint& listener, sub_call_sign sign)
+{
+    const bool is_loopback = peer.rfind("127.", 0) == 0 || peer == "::1";
+    return peer == listener.m_host || (sign == sub_call_sign::context && is_loopback);
+}
+
 /** Returns the id of the root request of the request @p id. */
 std::string_view root_request_id(std::string_view id)
 {
@@ -120,10 +129,12 @@
 {
     const instant now = event_loop::now();
     if (auto* const received = std::get_if<http_request>(&event)) {
-        const bool local = m_settings.m_sub_calls == sub_call_sign::request_id &&
-                           received->m_peer == m_settings.m_callers.m_host;
-        m_entry.on_request(now, to_entry_request(std::move(*received), local, event_loop::boot_now()),
-                           m_entry_actions);
+        const bool same_machine =
+            is_same_machine(received->m_peer, m_settings.m_callers, m_settings.m_sub_calls);
+        const bool local = m_settings.m_sub_calls == sub_call_sign::request_id && same_machine;
+        entry_request request = to_entry_request(std::move(*received), local, event_loop::boot_now());
+        request.m_same_machine = same_machine;
+        m_entry.on_request(now, std::move(request), m_entry_actions);
     }
     else {
         m_entry.on_caller_disconnected(now, std::get<http_client_disconnected>(event).m_exchange,
