--- a/src/waxwingctl/command_func.h
+++ b/src/waxwingctl/command_func.h
@@ -22,8 +22,8 @@
 
 /** Options and operands of the command line. */
 struct command_options {
-    std::vector<std::string> m_files;        ///< Configuration files, or logs for `explain`.
-    std::string m_operand;                   ///< `FINGERPRINT` of `release` or `REQUEST` of `explain`.
+    std::vector<std::string> m_files; ///< Configuration files, or logs for `explain`.
+    std::string m_operand; ///< `FINGERPRINT` of `release`, `REQUEST` of `explain` or `SALT` of `hash-key`.
     std::optional<std::uint64_t> m_revision; ///< `--revision`, or `REVISION` of `rollback`.
     std::optional<std::uint64_t> m_base;     ///< `--base`.
     std::optional<std::uint64_t> m_count;    ///< `--count`.
@@ -37,6 +37,8 @@
 
 /** Checks configuration files without contacting a node. */
 exit_status run_check(const command_options& options);
+/** Prints the hash of a key read from the standard input, without contacting a node. */
+exit_status run_hash_key(const command_options& options);
 /** Traces a request through log files without contacting a node. */
 exit_status run_explain(const command_options& options);
 /** Prints the difference between the newest revision and the files. */
--- a/src/waxwingctl/main.cpp
+++ b/src/waxwingctl/main.cpp
@@ -25,6 +25,7 @@
   waxwingctl release [--node=ADDRESS] [--token-file=FILE] [--json] FINGERPRINT
   waxwingctl top [--node=ADDRESS] [--token-file=FILE] [--json] [--count=N]
   waxwingctl explain REQUEST FILE...
+  waxwingctl hash-key SALT
   waxwingctl (-h | --help)
   waxwingctl --version
 
@@ -43,6 +44,9 @@
   -h --help          Show this text.
   --version          Show the version.
 
+`hash-key` reads the key of an organisation from the standard input and prints its hash for the key `keys` of the
+organisation; SALT is `key_salt` of `[limits fleet]`.
+
 `explain` reads the JSON logs of nodes and traces the request with the id REQUEST to the decision that ended it.
 
 Exit status: 0 done, 1 refused or invalid, 2 wrong usage, 3 node or platform unreachable and nothing changed,
@@ -121,7 +125,8 @@
         options.m_files = files->second.asStringList();
     }
     const char* const user = std::getenv("USER");
-    options.m_operand = string_option(args, "FINGERPRINT") + string_option(args, "REQUEST");
+    options.m_operand =
+        string_option(args, "FINGERPRINT") + string_option(args, "REQUEST") + string_option(args, "SALT");
     options.m_change_id = string_option(args, "--change-id");
     options.m_who = string_option(args, "--who");
     if (options.m_who.empty()) {
@@ -148,6 +153,9 @@
     if (flag_option(args, "check")) {
         return run_check(*options);
     }
+    if (flag_option(args, "hash-key")) {
+        return run_hash_key(*options);
+    }
     if (flag_option(args, "explain")) {
         return run_explain(*options);
     }
