Add: the store client reports which version the head row is shown to have

A node that fails closed has to know at which moment its revision was the newest one. The check that the client sends each second already shows it, as do reads of the row; both are now reported with the time at which the call was sent, and cost no further calls. The handler gets the version of the row, since the row itself may be read only later.

--- a/src/storage/storage.h
+++ b/src/storage/storage.h
@@ -58,6 +58,10 @@
     template<class T>
     using handler = std::function<void(result<T>)>;
 
+    /** Called with the version of a row, number zero if it does not exist, and with the time at which the
+     * call was sent that showed it: the row had this version at that time or later. */
+    using confirmation_handler = std::function<void(row_version version, boot_instant sent_at)>;
+
     storage() = default;
     virtual ~storage() = default;
     storage(const storage&) = delete;
@@ -89,6 +93,11 @@
      * rows again. */
     virtual void watch_restorations(std::function<void()> on_restored) = 0;
 
+    /** Registers the handler that is called each time the store has shown which version the row @p key has:
+     * after each read of the row, and by the checks of its watch while that is active, which need no further
+     * calls. @pre no handler is registered yet. */
+    virtual void watch_confirmations(const std::string& key, confirmation_handler on_confirmed) = 0;
+
     /** Stores the object @p name; storing the same bytes again is harmless. */
     virtual void put_object(const std::string& name, std::string bytes, handler<bool> on_done) = 0;
 
--- a/test/announcement_task_test.cpp
+++ b/test/announcement_task_test.cpp
@@ -46,6 +46,7 @@
     void watch_row(const std::string&, std::function<void()>) override {}
     void set_watch_active(const std::string&, bool) override {}
     void watch_restorations(std::function<void()>) override {}
+    void watch_confirmations(const std::string&, confirmation_handler) override {}
     void put_object(const std::string&, std::string, handler<bool>) override {}
     void get_object(const std::string&, handler<std::optional<std::string>>) override {}
 
