Add: confirmations that the revision in force was the newest one

Peers are the elected watchers, of the own data centre first; watch_election names those of other data centres too.

--- a/src/config/config.h
+++ b/src/config/config.h
@@ -4,6 +4,7 @@
 
 #include "config/config_func.h"
 #include "config/config_type.h"
+#include "config/confirmation_base.h"
 #include "config/publication_base.h"
 #include "config/spread_base.h"
 
--- a/src/member/watch_election.cpp
+++ b/src/member/watch_election.cpp
@@ -16,6 +16,12 @@
 void watch_election::put(const member_record& member)
 {
     const rank member_rank(hash_of(member.m_node), member.m_node);
+    for (auto& [data_centre, ranking] : m_other_rankings) {
+        ranking.erase(member_rank);
+    }
+    if (member.m_state == member_state::alive && member.m_data_centre != m_own_data_centre) {
+        m_other_rankings[member.m_data_centre].insert(member_rank);
+    }
     // A suspect may be unable to watch. If it still does, there is a watcher too many until it refutes.
     if (member.m_state == member_state::alive && member.m_data_centre == m_own_data_centre) {
         m_ranking.insert(member_rank);
@@ -36,6 +42,31 @@
     return true;
 }
 
+std::vector<node_id> watch_election::near_watchers() const
+{
+    std::vector<node_id> watchers;
+    append_first(m_ranking, m_settings.m_watchers_per_data_centre - (is_elected() ? 1 : 0), watchers);
+    return watchers;
+}
+
+std::vector<node_id> watch_election::far_watchers() const
+{
+    std::vector<node_id> watchers;
+    for (const auto& [data_centre, ranking] : m_other_rankings) {
+        append_first(ranking, m_settings.m_watchers_per_data_centre, watchers);
+    }
+    return watchers;
+}
+
+/** Appends the nodes of the first @p count ranks of @p ranking to @p nodes. */
+void watch_election::append_first(const std::set<rank>& ranking, std::size_t count,
+                                  std::vector<node_id>& nodes)
+{
+    for (auto each = ranking.begin(); each != ranking.end() && count > 0; ++each, --count) {
+        nodes.push_back(each->second);
+    }
+}
+
 bool watch_election::update(instant now, bool is_isolated)
 {
     m_started_at = m_started_at.value_or(now);
--- a/src/member/watch_election_base.h
+++ b/src/member/watch_election_base.h
@@ -4,10 +4,12 @@
 
 #include "member/member_type.h"
 
+#include <map>
 #include <optional>
 #include <set>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace waxwing {
 
@@ -43,6 +45,12 @@
      * @return whether the node has to watch. */
     bool update(instant now, bool is_isolated);
 
+    /** Returns the other nodes that are elected in the own data centre. */
+    std::vector<node_id> near_watchers() const;
+
+    /** Returns the nodes that are elected in other data centres. */
+    std::vector<node_id> far_watchers() const;
+
     /** Returns when update has to be called again if nothing else happens. */
     instant next_update() const { return m_next_update; }
 
@@ -50,13 +58,15 @@
     using rank = std::pair<std::uint64_t, node_id>;
 
     bool is_elected() const;
+    static void append_first(const std::set<rank>& ranking, std::size_t count, std::vector<node_id>& nodes);
 
     rank m_self;
     data_centre_name m_own_data_centre;
     watch_settings m_settings;
-    std::set<rank> m_ranking;            ///< Alive members of the own data centre, without the node itself.
-    std::optional<instant> m_heard_at;   ///< When the last message arrived.
-    std::optional<instant> m_started_at; ///< Time of the first call to update.
+    std::set<rank> m_ranking; ///< Alive members of the own data centre, without the node itself.
+    std::map<data_centre_name, std::set<rank>> m_other_rankings; ///< Alive members of other data centres.
+    std::optional<instant> m_heard_at;                           ///< When the last message arrived.
+    std::optional<instant> m_started_at;                         ///< Time of the first call to update.
     std::optional<instant> m_elected_since; ///< Since when the node has been elected without a break.
     instant m_next_update{};                ///< When time alone may change the decision.
 };
