Add: settings, messages and events of a deployment that fails closed

Where it fails closed and the configuration has organisations, the control task asks watchers by control messages of the topic confirmation, reads the head row when none confirms, fetches a newer revision that an answer names, and tells the call task of each later confirmation. W505 and W506 mark begin and end of the time in which keys are refused.

No test starts processes with fail_closed yet.

--- a/src/events/event_type.h
+++ b/src/events/event_type.h
@@ -37,6 +37,8 @@
     watch_changed,
     watch_failed,
     config_ignored,
+    keys_unconfirmed,
+    keys_confirmed,
     platform_failing,
     platform_recovered,
     store_restored,
--- a/src/events/table/events.h
+++ b/src/events/table/events.h
@@ -86,6 +86,13 @@
     {504, severity::warning, "config-ignored", "row known reason",
      "A row with the configuration is not used: row is its era and version in the platform's table, known "
      "those of the last row that was read."},
+    {505, severity::warning, "keys-unconfirmed", "revision age_ms",
+     "Requests that need a key are refused with 503 from now on, as the configuration in force is not known "
+     "to be the newest one: neither the store nor a node that watches it has confirmed it. age_ms is the "
+     "time since the last confirmation, never if there was none."},
+    {506, severity::info, "keys-confirmed", "revision lasted_ms",
+     "The configuration in force is known to be the newest one again, or needs no confirmation any more; "
+     "requests that need a key are accepted."},
     {510, severity::warning, "platform-failing", "reason",
      "The platform's table or object store is failing."},
     {511, severity::info, "platform-recovered", "outage_ms",
--- a/src/node/call_task.cpp
+++ b/src/node/call_task.cpp
@@ -25,7 +25,8 @@
 /** Returns the settings of the entry of a node with @p settings. */
 entry_settings to_entry_settings(const node_settings& settings, const request_dialect& dialect)
 {
-    return {settings.m_name, settings.m_data_centre, settings.m_service, settings.m_control, dialect};
+    return {settings.m_name, settings.m_data_centre, settings.m_service,           settings.m_control,
+            dialect,         settings.m_fail_closed, settings.m_revocation_timeout};
 }
 
 /** Returns the id of the root request of the request @p id. */
@@ -168,6 +169,7 @@
                    [&](limit_hinted& message) { m_runner.hint(now, message.m_slots); },
                    [&](target_rate_limited& message) { limit_rate(now, message.m_rate); },
                    [&](quarantine_received& message) { m_runner.on_quarantine(now, message.m_records); },
+                   [&](calls_confirm&) {},
                    [&](link_event& message) { on_link(std::move(message)); },
                },
                command);
--- a/src/node/control_task.cpp
+++ b/src/node/control_task.cpp
@@ -42,6 +42,14 @@
       m_members(member_settings{}, to_member_record(settings, own_incarnation), seed),
       m_watch_election(settings.m_name, settings.m_data_centre, watch_settings{}),
       m_spread(to_spread_settings(platform_storage), seed + 1), m_storage(platform_storage),
+      m_confirmation(
+          loop, settings, seed + 2,
+          {[this](control_output&& output) { m_on_output(std::move(output)); },
+           [this] {
+               return confirmation_peers{m_watch_election.near_watchers(), m_watch_election.far_watchers()};
+           },
+           [this] { read_head_to_confirm(); },
+           [this](const node_id& peer, revision number) { fetch(peer, number); }}),
       m_timer(loop, [this] { on_timer(); })
 {
 }
@@ -59,6 +67,11 @@
     }
     m_datagrams = std::move(datagrams).value();
     m_storage.watch_row(std::string(head_key), [this] { read_head(); });
+    if (m_settings.m_fail_closed) {
+        m_storage.watch_confirmations(
+            std::string(head_key),
+            [this](row_version version, boot_instant sent_at) { m_confirmation.on_store(version, sent_at); });
+    }
     m_storage.watch_restorations([this] {
         m_members.on_table_restored(event_loop::now());
         process_actions();
@@ -110,6 +123,7 @@
     m_is_watching = is_watching;
     log_event(event::watch_changed, {{"watching", is_watching ? "yes" : "no"}});
     m_spread.set_watching(now, is_watching);
+    m_confirmation.set_watching(is_watching);
     m_storage.set_watch_active(std::string(head_key), is_watching);
 }
 
@@ -170,6 +184,7 @@
                                  {{"revision", std::to_string(change.m_info.m_revision.m_value)},
                                   {"digest", change.m_info.m_digest}});
                        m_on_output(revision_in_force(m_in_force));
+                       m_confirmation.set_in_force(m_in_force);
                    },
                    [&](spread_restore& request) {
                        restore(std::make_shared<const spread_restore>(std::move(request)), 0);
@@ -225,6 +240,7 @@
     else {
         m_spread.on_head(now, std::optional<revision_info>(info.value()), m_spread_actions,
                          row.value()->m_version);
+        m_confirmation.on_head(row.value()->m_version, info.value().m_revision);
     }
     process_actions();
 }
@@ -298,6 +314,24 @@
     apply(spread_action{spread_read_head{}});
 }
 
+/** Reads the head row for want of a confirmation. A failure does not reach the distribution, which would
+ * request the revision from a random peer each time. */
+void control_task::read_head_to_confirm()
+{
+    m_storage.read(std::string(head_key), [this](const result<std::optional<table_row>>& row) {
+        if (row.has_value()) {
+            on_head(row);
+        }
+    });
+}
+
+/** Fetches the revision @p number, which @p peer has in force. */
+void control_task::fetch(const node_id& peer, revision number)
+{
+    m_spread.on_peer_revision(event_loop::now(), peer, number, m_spread_actions);
+    process_actions();
+}
+
 void control_task::leave()
 {
     m_members.leave(event_loop::now(), m_member_actions);
--- a/src/node/control_task_base.h
+++ b/src/node/control_task_base.h
@@ -5,6 +5,7 @@
 #include "config/config.h"
 #include "link/link.h"
 #include "member/member.h"
+#include "node/confirmation_task_base.h"
 #include "node/settings_func.h"
 #include "node/task_message_type.h"
 #include "storage/storage.h"
@@ -36,6 +37,12 @@
     /** Handles a control message of the topic `configuration`. */
     void on_configuration(const node_id& peer, std::string_view payload);
 
+    /** Handles a control message of the topic `confirmation`. */
+    void on_confirmation(const node_id& peer, std::string_view payload)
+    {
+        m_confirmation.on_message(peer, payload);
+    }
+
     /** Notifies other nodes that this one leaves the fleet. */
     void leave();
 
@@ -62,6 +69,8 @@
     void discover(const std::string& prefix, const std::string& after,
                   std::vector<std::pair<std::string, std::string>> found);
     void on_head(const result<std::optional<table_row>>& row);
+    void read_head_to_confirm();
+    void fetch(const node_id& peer, revision number);
     void restore(const std::shared_ptr<const spread_restore>& request, std::size_t next_put);
     void end_restore();
     void log_unreadable_revision();
@@ -80,6 +89,7 @@
     std::vector<spread_action> m_spread_actions;
     revision_in_force m_in_force;
     storage& m_storage;
+    confirmation_task m_confirmation;
     std::unique_ptr<datagram_task> m_datagrams;
     std::optional<instant> m_platform_failing_since;
     bool m_processing_actions = false;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -173,6 +173,7 @@
                    [&](revision_in_force& configuration) { on_revision(configuration); },
                    [&](peer_send& outgoing) { m_peers.send(outgoing.m_peer, std::move(outgoing.m_message)); },
                    [&](table_restored&) { m_announcements.on_table_restored(); },
+                   [&](calls_confirm& confirmed) { m_calls.post(confirmed); },
                },
                output);
 }
@@ -292,6 +293,10 @@
         m_control.on_configuration(peer, message.m_payload);
         return;
     }
+    if (message.m_topic == control_topic::confirmation) {
+        m_control.on_confirmation(peer, message.m_payload);
+        return;
+    }
     if (message.m_topic == control_topic::quarantine) {
         const auto records = decode_quarantine(message.m_payload);
         if (records.has_value()) {
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -114,6 +114,15 @@
         return check_range(static_cast<std::uint64_t>(to_milliseconds(*value)));
     }
 
+    std::string operator()(bool node_settings::*field) const
+    {
+        if (m_text != "yes" && m_text != "no") {
+            return "\"" + m_text + "\" is not yes or no";
+        }
+        m_settings.*field = m_text == "yes";
+        return {};
+    }
+
     std::string operator()(control_mode node_settings::*field) const
     {
         return read_name(control_mode_names, field);
--- a/src/node/settings_func.h
+++ b/src/node/settings_func.h
@@ -55,6 +55,10 @@
     std::string m_shared_key;     ///< Proves that a node belongs to the fleet.
     std::string m_operator_token; ///< Proves that an operator may change things; empty refuses all changes.
 
+    bool m_fail_closed = false; ///< Whether keys are refused while the configuration may be out of date.
+    /** With m_fail_closed: a key runs no request sent this long after its withdrawal was accepted. */
+    duration m_revocation_timeout = std::chrono::seconds(5);
+
     log_format m_log_format = log_format::text; ///< How events are written.
 
     friend bool operator==(const node_settings&, const node_settings&) = default;
--- a/src/node/table/settings.h
+++ b/src/node/table/settings.h
@@ -18,7 +18,7 @@
                  std::optional<endpoint> node_settings::*, std::uint32_t node_settings::*,
                  std::size_t node_settings::*, duration node_settings::*, control_mode node_settings::*,
                  log_format node_settings::*, configuration_source node_settings::*,
-                 sub_call_sign node_settings::*>;
+                 sub_call_sign node_settings::*, bool node_settings::*>;
 
 /** One setting. */
 struct setting_info {
@@ -37,9 +37,10 @@
 inline constexpr std::uint64_t max_connections = 100'000;     ///< Also the maximum number of slots.
 inline constexpr std::uint64_t max_body_bytes = 64ULL << 20U; ///< Bytes.
 inline constexpr std::uint64_t hour_ms = 3'600'000;           ///< Milliseconds.
+inline constexpr std::uint64_t week_ms = 168 * hour_ms;       ///< Milliseconds.
 
 /** All settings. */
-inline constexpr std::array<setting_info, 26> settings_table{{
+inline constexpr std::array<setting_info, 28> settings_table{{
     {"node", "name", true, &node_settings::m_name, 1, max_name_bytes,
      "Name of the node, unique in the fleet"},
     {"node", "region", true, &node_settings::m_region, 1, max_name_bytes, "Region of the node"},
@@ -83,6 +84,11 @@
      "Secret of all nodes of the fleet"},
     {"security", "operator_token", false, &node_settings::m_operator_token, min_secret_bytes, max_text_bytes,
      "Bearer token for changes; without it all changes are refused"},
+    {"organisations", "fail_closed", false, &node_settings::m_fail_closed, 0, 0,
+     "yes or no: whether requests that need a key are refused while the configuration in force is not known "
+     "to be the newest one"},
+    {"organisations", "revocation_timeout", false, &node_settings::m_revocation_timeout, 0, week_ms,
+     "With fail_closed: a key runs no request sent this long after its withdrawal was accepted"},
     {"log", "format", false, &node_settings::m_log_format, 0, 0, "text or json"},
 }};
 
--- a/src/node/task_message_type.h
+++ b/src/node/task_message_type.h
@@ -76,10 +76,15 @@
     std::vector<quarantine_record> m_records; ///< The records.
 };
 
+/** To the call task: the revision in force was known to be the newest one at the given time. */
+struct calls_confirm {
+    boot_instant m_confirmed_at; ///< Never earlier than in the last command.
+};
+
 /** Commands to the call task. */
 using call_command = std::variant<calls_configure, calls_put_target, calls_remove_target, calls_set_target,
                                   calls_gate, run_answered, run_failed, probe_ended, limit_hinted,
-                                  target_rate_limited, quarantine_received, link_event>;
+                                  target_rate_limited, quarantine_received, calls_confirm, link_event>;
 
 /** From the call task: send a message to another node. */
 struct peer_send {
@@ -123,7 +128,8 @@
 struct table_restored {};
 
 /** Output of the control task to the node. */
-using control_output = std::variant<peer_changed, revision_in_force, peer_send, table_restored>;
+using control_output =
+    std::variant<peer_changed, revision_in_force, peer_send, table_restored, calls_confirm>;
 
 /** Combines several function objects into one visitor. */
 template<class... Functions>
--- a/test/settings_test.cpp
+++ b/test/settings_test.cpp
@@ -36,6 +36,19 @@
     cr_assert(read.value().m_gossip.m_port == 3);
 }
 
+/** A misspelt value of fail_closed must not leave the deployment open. */
+Test(settings, fail_closed_is_off_by_default_and_yes_or_no)
+{
+    const auto plain = read_settings("a.ini", good + "[organisations]\n");
+    cr_assert(plain.has_value() && !plain.value().m_fail_closed);
+    cr_assert(plain.value().m_revocation_timeout == std::chrono::seconds(5));
+    const auto closed =
+        read_settings("a.ini", good + "[organisations]\nfail_closed = yes\nrevocation_timeout = 8000ms\n");
+    cr_assert(closed.has_value() && closed.value().m_fail_closed);
+    cr_assert(closed.value().m_revocation_timeout == std::chrono::seconds(8));
+    cr_assert(read_settings("a.ini", good + "[organisations]\nfail_closed = true\n").has_error());
+}
+
 Test(settings, names_every_error_with_its_line)
 {
     const auto read =
