Change: a node that starts asks for its first confirmation every 100 ms

In a trial of 8 processes that start at once (with confirmations required in spite of a configuration without organisations) the peers that a node asked first were often unconfirmed themselves, and it refused keys for up to 662 ms. The begin of a refusal is logged at its time instead of up to 200 ms later.

Run: confirmation_test passes (8 tests).

--- a/src/config/confirmation_base.cpp
+++ b/src/config/confirmation_base.cpp
@@ -217,7 +217,10 @@
         ask(now, without(peers.m_far.empty() ? peers.m_near : peers.m_far, m_first_peer), false, actions);
     }
     if (m_next_round_at <= now) {
-        const auto interval = m_settings.m_ask_interval.count();
+        // A node that has just started is refused for as long as the peers that it asks have just started
+        // too.
+        const auto interval =
+            (m_confirmed_at.has_value() ? m_settings.m_ask_interval : min_ask_interval).count();
         std::uniform_int_distribution<duration::rep> distribution(interval * 9 / 10, interval);
         m_next_round_at = now + duration(distribution(m_random));
         if (needs_peers(now)) {
--- a/src/node/confirmation_task.cpp
+++ b/src/node/confirmation_task.cpp
@@ -8,13 +8,6 @@
 
 namespace waxwing {
 
-namespace {
-
-/** Longest time until the task checks again whether keys are refused, which it logs. */
-constexpr duration max_check_interval = std::chrono::milliseconds(200);
-
-} // namespace
-
 confirmation_task::confirmation_task(event_loop& loop, const node_settings& settings, std::uint64_t seed,
                                      confirmation_handlers handlers)
     : m_settings(settings), m_handlers(std::move(handlers)),
@@ -92,7 +85,11 @@
         m_timer.cancel();
         return;
     }
-    m_timer.set(std::min(m_confirmation.next_tick() - event_loop::boot_now(), max_check_interval));
+    boot_instant next = m_confirmation.next_tick();
+    if (m_reported_at.has_value() && !m_refusing_since.has_value()) {
+        next = std::min(next, *m_reported_at + m_settings.m_revocation_timeout - revocation_margin);
+    }
+    m_timer.set(next - event_loop::boot_now());
 }
 
 /** Tells the call task of a later confirmation, and logs when the refusal of keys begins and ends. */
