Codechange: one branch for the root requests of an entry

clang-tidy reported two branches with the same body in entry::prepare: requests with a key and requests without a parent call.

--- a/src/call/entry.cpp
+++ b/src/call/entry.cpp
@@ -171,13 +171,11 @@
     outbound.m_idempotency_key = fields.m_key;
     outbound.m_fingerprint = fingerprint_of(fields.m_host, request.m_method, request.m_path, request.m_body);
     answer decision = proceed();
-    if (new_call.m_has_key) {
-        decision = prepare_root(now, new_call);
-    }
-    else if (fields.m_parent.has_value()) {
+    if (fields.m_parent.has_value() && !new_call.m_has_key) {
         decision = prepare_sub_call(now, *fields.m_parent, new_call);
     }
-    else if (const auto parent = parent_of(request, new_call.m_deadline)) {
+    else if (const auto parent =
+                 new_call.m_has_key ? std::nullopt : parent_of(request, new_call.m_deadline)) {
         decision = begin_sub_call(now, new_call, *parent, *m_running.find(*parent));
     }
     else {
