Add: a test of keys with processes

The tests of the entry don't show that processes accept sub-calls that targets send without a key, nor that a key is written nowhere. The test starts four nodes with one organisation and checks both: 401 with WWW-Authenticate without a key, 200 with one, a sub-call without a key, and no key in metrics, configuration, status or any log or file of the deployment.

--- a/test/process_test.py
+++ b/test/process_test.py
@@ -9,6 +9,7 @@
 import json
 import pathlib
 import signal
+import subprocess
 import sys
 import unittest
 
@@ -345,5 +346,36 @@
         self.restore_and_restart(self.publish_change())
 
 
+class Organisations(unittest.TestCase):
+    """A deployment whose callers need keys."""
+
+    def test_a_key_is_required_of_callers_not_of_targets_and_is_written_nowhere(self):
+        lab = Lab(DEPLOYMENT, base_port=BASE_PORT + 2500)
+        self.addCleanup(lab.stop)
+        folder = lab.folder / "keys"
+        folder.mkdir()
+        for path in (ROOT / DEPLOYMENT["configuration"]).glob("*.ini"):
+            salted = path.read_text().replace("[limits fleet]", "[limits fleet]\nkey_salt = salt")
+            (folder / path.name).write_text(salted)
+        hashed = subprocess.run([BUILD / "waxwingctl", "hash-key", "salt"], input="acme-key\n", capture_output=True,
+                                text=True, check=True).stdout
+        (folder / "organisations.ini").write_text(f"[organisation acme]\nkeys = {hashed}")
+        lab.deployment = dict(DEPLOYMENT, configuration=folder)
+        lab.start()
+        for entry in lab.instances:
+            status, headers, _ = call(entry.callers, "records", "GET", "/conditions/1")
+            self.assertEqual((status, headers["waxwing-rule"], headers["www-authenticate"]),
+                             (401, "unknown-key", "Bearer"))
+            authorised = {"Authorization": "Bearer acme-key", "Idempotency-Key": entry.name}
+            self.assertEqual(call(entry.callers, "orders", "POST", "/orders/1", "x", authorised)[0], 200)
+            for path in ("/metrics", "/v1/config", "/v1/status"):
+                self.assertNotIn("acme-key", request("GET", entry.operators, path)[1])
+        metrics = "".join(request("GET", one.operators, "/metrics")[1] for one in lab.instances)
+        self.assertIn('rule="none",hop="sub-call"', metrics, "targets send sub-calls without a key")
+        self.assertNotIn('rule="unknown-parent"', metrics)
+        for path in lab.folder.rglob("*"):
+            self.assertFalse(path.is_file() and b"acme-key" in path.read_bytes(), path)
+
+
 if __name__ == "__main__":
     unittest.main(verbosity=2)
