--- a/src/call/entry_organisation.cpp
+++ b/src/call/entry_organisation.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-/** Keys stop being accepted this long before a withdrawn one must run no request any more. */
-constexpr duration confirmation_margin = std::chrono::milliseconds(200);
-
 /** Requests a second, and at once, of an organisation at one entry: its shares have no rate limit, since its
  * quota counts over all nodes. */
 constexpr double unlimited_rate = 1.0e9;
@@ -62,7 +59,7 @@
 {
     return !m_settings.m_fail_closed ||
            (m_confirmed_at.has_value() &&
-            now - *m_confirmed_at < m_settings.m_revocation_timeout - confirmation_margin);
+            now - *m_confirmed_at < m_settings.m_revocation_timeout - revocation_margin);
 }
 
 /**
--- a/src/node/call_task.cpp
+++ b/src/node/call_task.cpp
@@ -180,7 +180,7 @@
                    [&](limit_hinted& message) { m_runner.hint(now, message.m_slots); },
                    [&](target_rate_limited& message) { limit_rate(now, message.m_rate); },
                    [&](quarantine_received& message) { m_runner.on_quarantine(now, message.m_records); },
-                   [&](calls_confirm&) {},
+                   [&](calls_confirm& message) { m_entry.confirm(message.m_confirmed_at); },
                    [&](link_event& message) { on_link(std::move(message)); },
                },
                command);
