Add: the quota of organisations at the entry and between nodes

A request that needs a token waits at the entry before all other checks, and ends by its deadline or its caller's departure. The call task joins entry and quota, with members, isolation and limits as they change; the topic quota carries the messages. Metrics: waxwing_quota_refused_total, _granted_total, _unanswered_total; event W190.

--- a/src/call/call_action_type.h
+++ b/src/call/call_action_type.h
@@ -36,20 +36,34 @@
 
 /** Answers the caller. */
 struct entry_reply {
-    exchange_id m_exchange;   ///< The caller's exchange.
-    kind_name m_kind;         ///< Request kind; empty if none matched.
-    answer m_answer;          ///< Answer to send.
-    duration m_took{};        ///< Time since the request arrived.
-    bool m_root = false;      ///< Whether an outside caller sent the request.
-    std::string m_request_id; ///< Request id; empty if there is none.
-    service_name m_service;   ///< Called service.
-    node_id m_node;           ///< Node of the last attempt; empty if nothing was sent.
-    unsigned m_attempts = 0;  ///< Number of attempts sent.
-    std::uint8_t m_depth = 0; ///< Depth in the call graph; 0 for the call of an outside caller.
+    exchange_id m_exchange;           ///< The caller's exchange.
+    kind_name m_kind;                 ///< Request kind; empty if none matched.
+    answer m_answer;                  ///< Answer to send.
+    duration m_took{};                ///< Time since the request arrived.
+    bool m_root = false;              ///< Whether an outside caller sent the request.
+    std::string m_request_id;         ///< Request id; empty if there is none.
+    service_name m_service;           ///< Called service.
+    node_id m_node;                   ///< Node of the last attempt; empty if nothing was sent.
+    unsigned m_attempts = 0;          ///< Number of attempts sent.
+    std::uint8_t m_depth = 0;         ///< Depth in the call graph; 0 for the call of an outside caller.
+    organisation_name m_organisation{}; ///< Whose key the request carried; empty if there was none.
+};
+
+/** Asks the quota for a token; the decision goes to entry::on_quota. */
+struct entry_take_token {
+    std::uint64_t m_waiter = 0;       ///< Identifies the request.
+    organisation_name m_organisation; ///< Whose token it has to spend.
+};
+
+/** Returns the token of a request that has not run and will not. */
+struct entry_return_token {
+    organisation_name m_organisation; ///< Whose token it is.
+    boot_instant m_expires_at{};      ///< When it expires.
 };
 
 /** Any action requested by an entry. */
-using entry_action = std::variant<entry_send, entry_cancel, entry_reply>;
+using entry_action =
+    std::variant<entry_send, entry_cancel, entry_reply, entry_take_token, entry_return_token>;
 
 /** Sends the call to the target. */
 struct runner_run {
--- a/src/call/entry.cpp
+++ b/src/call/entry.cpp
@@ -83,7 +83,10 @@
         refuse(now, request, is_root(fields.value(), new_call), new_call, decision, actions);
         return;
     }
-    // A request for which needs_quota holds has to spend a token before accept.
+    if (needs_quota(new_call)) {
+        wait_for_token(std::move(request), fields.value(), std::move(new_call), actions);
+        return;
+    }
     accept(now, std::move(request), fields.value(), std::move(new_call), actions);
 }
 
@@ -126,6 +129,7 @@
         return;
     }
     if (join(request, new_call)) {
+        return_token(new_call, actions);
         return;
     }
     new_call.m_call.m_method = std::move(request.m_method);
@@ -139,6 +143,7 @@
 void entry::refuse(instant now, const entry_request& request, bool root, const open_call& new_call,
                    answer response, std::vector<entry_action>& actions)
 {
+    return_token(new_call, actions);
     add_retry_after(response);
     const kind_name kind = new_call.m_kind == nullptr ? kind_name{} : new_call.m_kind->m_name;
     update_parent(now, new_call, response);
@@ -146,6 +151,7 @@
     reply.m_request_id = request_id_of(m_settings.m_dialect, request.m_headers);
     reply.m_service = new_call.m_call.m_service;
     reply.m_depth = new_call.m_call.m_context.m_depth;
+    reply.m_organisation = new_call.m_organisation;
     actions.emplace_back(std::move(reply));
 }
 
@@ -284,6 +290,10 @@
 {
     const auto position = m_exchanges.find(exchange);
     if (position == m_exchanges.end()) {
+        const auto wait = m_token_wait_exchanges.find(exchange);
+        if (wait != m_token_wait_exchanges.end()) {
+            end_token_wait(wait->second);
+        }
         return;
     }
     const call_number number = position->second;
@@ -321,6 +331,9 @@
     if (response.m_rule != rule::none && current.m_may_have_run && response.m_state == run_state::not_run) {
         response.m_state = run_state::unknown;
     }
+    if (response.m_state == run_state::not_run && !current.m_may_have_run) {
+        return_token(current, actions);
+    }
     update_parent(now, current, response);
     add_retry_after(response);
     if (current.m_waiters.empty()) {
--- a/src/call/entry_attempt.cpp
+++ b/src/call/entry_attempt.cpp
@@ -270,6 +270,7 @@
 
 void entry::tick(instant now, std::vector<entry_action>& actions)
 {
+    end_late_token_waits(now, actions);
     while (!m_tick_times.empty() && m_tick_times.begin()->first <= now) {
         const call_number number = m_tick_times.begin()->second;
         open_call& current = m_calls.at(number);
@@ -290,7 +291,8 @@
 
 instant entry::next_tick() const
 {
-    return m_tick_times.empty() ? instant::max() : m_tick_times.begin()->first;
+    const instant call_at = m_tick_times.empty() ? instant::max() : m_tick_times.begin()->first;
+    return m_token_wait_ends.empty() ? call_at : std::min(call_at, m_token_wait_ends.begin()->first);
 }
 
 retry_budget& entry::budget_of(const service_name& service, const retry_settings& settings)
--- a/src/call/entry_base.h
+++ b/src/call/entry_base.h
@@ -89,6 +89,10 @@
      */
     void on_request(instant now, entry_request request, std::vector<entry_action>& actions);
 
+    /** Handles the decision on the request @p waiter of an entry_take_token; must follow for each. */
+    void on_quota(instant now, std::uint64_t waiter, const quota_decision& decision,
+                  std::vector<entry_action>& actions);
+
     /** Records that the caller of @p exchange disconnected. */
     void on_caller_disconnected(instant now, exchange_id exchange, std::vector<entry_action>& actions);
 
@@ -109,7 +113,7 @@
     instant next_tick() const;
 
     /** Returns the number of calls in progress. */
-    std::size_t in_progress() const { return m_calls.size(); }
+    std::size_t in_progress() const { return m_calls.size() + m_token_waits.size(); }
 
     /** Records that the configuration in force was known to be the newest one at @p confirmed_at; an earlier
      * time than the recorded one changes nothing. */
@@ -152,6 +156,7 @@
         instant m_next_tick_at;                     ///< Key of the call in m_tick_times.
         std::optional<attempt_id> m_parent;         ///< Running call that makes this sub-call.
         organisation_name m_organisation; ///< Whose key the root request carried; empty if there was none.
+        std::optional<boot_instant> m_token_expires_at; ///< Of the token that it spent, if it needed one.
         bool m_has_key = false;     ///< Whether the request itself carried a key; it is then a root request.
         bool m_is_sub_call = false; ///< Whether a target sent it, even if the parent call is unknown.
         std::vector<node_id> m_reached_nodes; ///< Nodes whose target received an attempt, without duplicates.
@@ -159,6 +164,13 @@
             m_refusing_nodes; ///< Those of m_reached_nodes whose target refused, oldest refusal first.
     };
 
+    /** A request that waits for a token of its organisation. */
+    struct token_wait {
+        entry_request m_request; ///< The request.
+        request_fields m_fields; ///< Its headers.
+        open_call m_call;        ///< As check_request has left it.
+    };
+
     /** State of the weighted round robin over the services of a split. */
     struct split_state {
         std::vector<split_part> m_parts;     ///< Configured services and weights.
@@ -170,6 +182,11 @@
                          open_call& new_call);
     answer check_key(const entry_request& request, const request_fields& fields, open_call& new_call);
     bool needs_quota(const open_call& current) const;
+    void wait_for_token(entry_request request, request_fields fields, open_call new_call,
+                        std::vector<entry_action>& actions);
+    std::optional<token_wait> end_token_wait(call_number number);
+    void end_late_token_waits(instant now, std::vector<entry_action>& actions);
+    static void return_token(const open_call& current, std::vector<entry_action>& actions);
     void accept(instant now, entry_request request, const request_fields& fields, open_call new_call,
                 std::vector<entry_action>& actions);
     void refuse(instant now, const entry_request& request, bool root, const open_call& new_call,
@@ -223,6 +240,9 @@
     std::unordered_map<exchange_id, call_number> m_exchanges;
     std::unordered_map<std::string, call_number> m_keys;    ///< Calls by join_key, for re-sends.
     std::set<std::pair<instant, call_number>> m_tick_times; ///< Calls by the time at which tick handles them.
+    std::unordered_map<call_number, token_wait> m_token_waits; ///< Requests without a token.
+    std::unordered_map<exchange_id, call_number> m_token_wait_exchanges;
+    std::set<std::pair<instant, call_number>> m_token_wait_ends; ///< By their deadline.
     call_number m_last_number = 0;
     std::uint64_t m_attempt_base;
     std::uint64_t m_attempt_count = 0;
--- a/src/events/event_type.h
+++ b/src/events/event_type.h
@@ -15,6 +15,7 @@
     listen_failed,
     chart_refused,
     settings_reloaded,
+    quota_owner_silent,
     link_peer_up,
     link_peer_down,
     target_announced,
--- a/src/events/table/events.h
+++ b/src/events/table/events.h
@@ -42,6 +42,10 @@
     {113, severity::info, "settings-reloaded", "changed needs_restart",
      "The settings file was read again. changed tells whether new values are in force, needs_restart whether "
      "some values take effect only after a restart."},
+    {190, severity::warning, "quota-owner-silent", "owner",
+     "A node that keeps a part of the quotas of organisations did not answer in time. If it is alive, check "
+     "the "
+     "link to it; each such node that is missing takes a third of the quotas that it keeps."},
     {200, severity::info, "link-peer-up", "peer", "A link to another node was established."},
     {201, severity::warning, "link-peer-down", "peer", "The last link to another node was lost."},
     {300, severity::info, "target-announced", "service instance life address slots",
--- a/src/node/call_task.cpp
+++ b/src/node/call_task.cpp
@@ -60,8 +60,9 @@
     : m_loop(loop), m_settings(settings), m_dialect(dialect), m_metrics(node_metrics),
       m_on_output(std::move(on_output)), m_entry(to_entry_settings(settings, dialect), m_running, seed),
       m_runner(to_runner_settings(settings, dialect, own_incarnation), m_running),
+      m_quota(settings.m_name, own_incarnation, event_loop::boot_now()),
       m_commands(loop, [this](call_command&& command) { on_command(std::move(command)); }),
-      m_timer(loop, [this] { on_timer(); })
+      m_timer(loop, [this] { on_timer(); }), m_quota_timer(loop, [this] { process_actions(); })
 {
     m_runner.close(event_loop::now(), rule::target_unreachable, m_runner_actions);
 }
@@ -153,6 +154,7 @@
                        apply_caller_limits();
                        m_entry.configure(message.m_set);
                        m_runner.configure(message.m_set);
+                       configure_quota(*message.m_set);
                    },
                    [&](calls_put_target& message) { m_entry.put_target(now, message.m_target); },
                    [&](calls_remove_target& message) { m_entry.remove_target(message.m_node); },
@@ -179,6 +181,17 @@
                    [&](limit_hinted& message) { m_runner.hint(now, message.m_slots); },
                    [&](target_rate_limited& message) { limit_rate(now, message.m_rate); },
                    [&](quarantine_received& message) { m_runner.on_quarantine(now, message.m_records); },
+                   [&](quota_received& message) {
+                       std::vector<quota_action> actions;
+                       m_quota.on_message(event_loop::boot_now(), message.m_peer, message.m_payload, actions);
+                       apply_quota_actions(std::move(actions));
+                   },
+                   [&](quota_member_changed& message) {
+                       m_quota.on_member(event_loop::boot_now(), message.m_node, message.m_presence);
+                   },
+                   [&](isolation_changed& message) {
+                       m_quota.on_isolation(event_loop::boot_now(), message.m_isolated);
+                   },
                    [&](link_event& message) { on_link(std::move(message)); },
                },
                command);
@@ -241,6 +254,10 @@
     while (busy) {
         busy = apply_entry_actions();
         busy = apply_runner_actions() || busy;
+        if (!busy) {
+            tick_quota();
+            busy = !m_entry_actions.empty();
+        }
     }
     const instant next = std::min(m_entry.next_tick(), m_runner.next_tick());
     if (next == instant::max()) {
@@ -275,6 +292,16 @@
                     m_on_output(peer_send{cancellation.m_node, cancel_message{cancellation.m_attempt}});
                 },
                 [&](entry_reply& response) { reply(std::move(response)); },
+                [&](entry_take_token& request) {
+                    const quota_decision decision =
+                        m_quota.take(event_loop::boot_now(), request.m_organisation, request.m_waiter);
+                    if (decision.m_outcome != quota_outcome::waiting) {
+                        m_entry.on_quota(now, request.m_waiter, decision, m_entry_actions);
+                    }
+                },
+                [&](entry_return_token& returned) {
+                    m_quota.give_back(event_loop::boot_now(), returned.m_organisation, returned.m_expires_at);
+                },
             },
             action);
     }
@@ -371,6 +398,7 @@
                                {"rule", std::string(info_of(response.m_answer.m_rule).m_name)},
                                {"hop", hop}};
     m_metrics.count("waxwing_requests_total", labels);
+    count_quota_refusal(response);
     m_metrics.observe("waxwing_request_seconds", {{"kind", response.m_kind.m_value}, {"hop", hop}},
                       response.m_took);
     m_server->reply(to_http_reply(std::move(response), m_dialect));
--- a/src/node/call_task_base.h
+++ b/src/node/call_task_base.h
@@ -78,6 +78,10 @@
     void log_run(const runner_answer& run);
     void on_refused(const http_refusal& refused);
     void on_timer();
+    void configure_quota(const config_set& set);
+    void apply_quota_actions(std::vector<quota_action> actions);
+    void count_quota_refusal(const entry_reply& response);
+    void tick_quota();
 
     event_loop& m_loop;
     const node_settings& m_settings;
@@ -87,10 +91,13 @@
     running_calls m_running;
     entry m_entry;
     runner m_runner;
+    quota m_quota;
     std::vector<entry_action> m_entry_actions;
     std::vector<runner_action> m_runner_actions;
     mailbox<call_command> m_commands;
     timer m_timer;
+    timer m_quota_timer;
+    std::uint64_t m_reported_grants = 0; ///< Tokens granted as an owner, as far as the metric has them.
     std::unique_ptr<http_server> m_server;
     request_sampler m_entry_log{sampler_settings{}};
     request_sampler m_run_log{sampler_settings{}};
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -63,6 +63,15 @@
     return present && record.m_target == target_state::ready;
 }
 
+/** Returns what @p state means for the ownership of quotas. */
+quota_presence to_presence(member_state state)
+{
+    if (state == member_state::left) {
+        return quota_presence::left;
+    }
+    return state == member_state::dead ? quota_presence::dead : quota_presence::alive;
+}
+
 /** Converts @p record to a target for routing. */
 route_target to_route_target(const member_record& record)
 {
@@ -189,6 +198,7 @@
         m_peers.put(record.m_node, record.m_link);
         send_quarantine_snapshot(record);
     }
+    m_calls.post(quota_member_changed{record.m_node, to_presence(record.m_state)});
     update_routes_to(record.m_node, record.m_service);
 }
 
@@ -298,6 +308,9 @@
             m_calls.post(quarantine_received{records.value()});
         }
     }
+    if (message.m_topic == control_topic::quota) {
+        m_calls.post(quota_received{peer, message.m_payload});
+    }
 }
 
 /** Sends quarantine records to every live member. */
@@ -392,9 +405,19 @@
     m_drain_timer.set(drain_check_interval);
 }
 
+/** Tells the call task when this node is cut off from most others, or no longer is. */
+void node::check_isolation()
+{
+    const bool is_isolated = m_control.members().likely_isolated(event_loop::now());
+    if (std::exchange(m_isolated, is_isolated) != is_isolated) {
+        m_calls.post(isolation_changed{is_isolated});
+    }
+}
+
 /** Logs when load shedding begins and ends. */
 void node::check_overload()
 {
+    check_isolation();
     const instant now = event_loop::now();
     const priority threshold = m_calls.runner_state().report(now).m_threshold;
     const std::string& service = m_own_target.m_service.m_value;
--- a/src/node/node_base.h
+++ b/src/node/node_base.h
@@ -83,6 +83,7 @@
     void execute_action(const std::string& action);
     void check_drained();
     void check_overload();
+    void check_isolation();
 
     event_loop& m_loop;
     node_settings m_settings;
@@ -101,6 +102,7 @@
     target_changed m_own_target;
     instant m_stop_began_at{};
     instant m_started_at{};
+    bool m_isolated = false; ///< As the call task knows it.
     std::optional<instant> m_overload_since;
     timer m_drain_timer;
     timer m_refuse_timer;
--- a/src/node/task_message_type.h
+++ b/src/node/task_message_type.h
@@ -76,10 +76,28 @@
     std::vector<quarantine_record> m_records; ///< The records.
 };
 
+/** To the call task: a message of the topic `quota`. */
+struct quota_received {
+    node_id m_peer;        ///< The sender.
+    std::string m_payload; ///< The message.
+};
+
+/** To the call task: whether another node may own quotas. */
+struct quota_member_changed {
+    node_id m_node;                                   ///< The node.
+    quota_presence m_presence = quota_presence::dead; ///< Its state.
+};
+
+/** To the call task: whether this node is probably cut off from most others. */
+struct isolation_changed {
+    bool m_isolated = false; ///< Whether it is.
+};
+
 /** Commands to the call task. */
-using call_command = std::variant<calls_configure, calls_put_target, calls_remove_target, calls_set_target,
-                                  calls_gate, run_answered, run_failed, probe_ended, limit_hinted,
-                                  target_rate_limited, quarantine_received, link_event>;
+using call_command =
+    std::variant<calls_configure, calls_put_target, calls_remove_target, calls_set_target, calls_gate,
+                 run_answered, run_failed, probe_ended, limit_hinted, target_rate_limited,
+                 quarantine_received, quota_received, quota_member_changed, isolation_changed, link_event>;
 
 /** From the call task: send a message to another node. */
 struct peer_send {
