--- a/standin/target/main.cpp
+++ b/standin/target/main.cpp
@@ -30,7 +30,8 @@
   --seed=N             Seed of the service times [default: 1].
 
 Over HTTP: GET /health /load /executions; POST /faults with service_factor, failure_share, health_lies, load_lie,
-sheds_all. A request with the header X-Crash: 1 ends the process.
+sheds_all. A request with the header X-Crash: 1 ends the process; X-Answer-Bytes: N asks for an answer that is N bytes
+longer.
 )";
 
 /** Parses `service:/path,service:/path`; parts without a colon are skipped. */
--- a/standin/target/target.cpp
+++ b/standin/target/target.cpp
@@ -20,6 +20,7 @@
 constexpr std::uint16_t status_failed = 500;
 constexpr std::uint16_t status_unavailable = 503;
 constexpr int crash_status = 70;
+constexpr int decimal_base = 10;
 
 /** Computes a checksum of @p text, so that tests can detect a truncated body. */
 std::uint64_t checksum(const std::string& text)
@@ -255,11 +256,15 @@
     m_work_ms += to_seconds(item.m_work_duration) * 1000;
     std::uniform_real_distribution<double> chance(0.0, 1.0);
     const bool fails = item.m_sub_call_failed || chance(m_random) < m_faults.m_failure_ratio;
-    const json body{{"service", m_options.m_service},
-                    {"path", item.m_request.m_path},
-                    {"request_id", header_or_empty(item.m_request, "X-Request-Id")},
-                    {"body_size", item.m_request.m_body.size()},
-                    {"body_checksum", checksum(item.m_request.m_body)}};
+    json body{{"service", m_options.m_service},
+              {"path", item.m_request.m_path},
+              {"request_id", header_or_empty(item.m_request, "X-Request-Id")},
+              {"body_size", item.m_request.m_body.size()},
+              {"body_checksum", checksum(item.m_request.m_body)}};
+    const std::string answer_bytes = header_or_empty(item.m_request, "X-Answer-Bytes");
+    if (!answer_bytes.empty()) {
+        body["filler"] = std::string(std::strtoul(answer_bytes.c_str(), nullptr, decimal_base), 'x');
+    }
     m_server->reply(
         {id, fails ? status_failed : status_ok, {{"Content-Type", "application/json"}}, body.dump()});
     start_waiting();
