--- a/bench/link/main.cpp
+++ b/bench/link/main.cpp
@@ -181,7 +181,7 @@
         message.m_call.m_method = "GET";
         message.m_call.m_path = "/stones/17?fields=all";
         message.m_call.m_headers = {{"accept", "application/json"}, {"user-agent", "bench"}};
-        message.m_call.m_body.assign(size, 'x');
+        message.m_call.m_body = std::string(size, 'x');
         m_task->send(m_echo, std::move(message));
     }
 
--- a/bench/load/load.cpp
+++ b/bench/load/load.cpp
@@ -227,7 +227,7 @@
 void load_generator::on_executions(http_client_event&& event)
 {
     if (const auto* const answer = std::get_if<http_answer>(&event)) {
-        const json content = json::parse(answer->m_body, nullptr, false);
+        const json content = json::parse(answer->m_body.text(), nullptr, false);
         if (content.is_object() && content.contains("by_key")) {
             for (const auto& [key, count] : content["by_key"].items()) {
                 m_executions[key] += count.get<std::uint64_t>();
--- a/src/base/call_type.h
+++ b/src/base/call_type.h
@@ -2,6 +2,7 @@
 #ifndef WAXWING_BASE_CALL_TYPE_H
 #define WAXWING_BASE_CALL_TYPE_H
 
+#include "base/body_type.h"
 #include "base/id_type.h"
 #include "base/rule_type.h"
 #include "base/unit_type.h"
@@ -72,7 +73,7 @@
     std::string m_method;            ///< HTTP method.
     std::string m_path;              ///< Path with query.
     header_list m_headers;           ///< End-to-end headers, without those that waxwinghub defines.
-    std::string m_body;              ///< The complete body.
+    shared_body m_body;              ///< The complete body.
     std::string m_idempotency_key;   ///< Empty if the caller sent none.
     std::uint8_t m_crashes = 0;      ///< Targets that died while running it, as far as its entry knows.
     std::uint64_t m_fingerprint = 0; ///< Hash of method, path and body; identifies a crashing request.
@@ -93,7 +94,7 @@
     rule m_rule = rule::none;         ///< The rule that refused or failed it; none if the target answered.
     std::uint16_t m_status = 0;       ///< The target's HTTP status, if it answered.
     header_list m_headers;            ///< The target's end-to-end headers.
-    std::string m_body;               ///< The complete body.
+    shared_body m_body;               ///< The complete body.
     duration m_retry_after{};         ///< Suggested delay before another try; zero if there is none.
     std::uint16_t m_retry_tokens = 0; ///< Unused retry tokens that are returned.
     bool m_final = false;             ///< Whether the hop above must forward it and not try again.
--- a/src/call/entry.cpp
+++ b/src/call/entry.cpp
@@ -155,7 +155,8 @@
     outbound.m_caller = fields.m_caller;
     outbound.m_idempotent = kind.m_idempotent;
     outbound.m_idempotency_key = fields.m_key;
-    outbound.m_fingerprint = fingerprint_of(fields.m_host, request.m_method, request.m_path, request.m_body);
+    outbound.m_fingerprint =
+        fingerprint_of(fields.m_host, request.m_method, request.m_path, request.m_body.text());
     new_call.m_deadline = now + std::min(fields.m_deadline.value_or(kind.m_deadline), kind.m_deadline);
     answer decision = proceed();
     if (fields.m_parent.has_value()) {
--- a/src/call/entry_base.h
+++ b/src/call/entry_base.h
@@ -22,7 +22,7 @@
     std::string m_method;          ///< HTTP method.
     std::string m_path;            ///< Path with query.
     header_list m_headers;         ///< All headers.
-    std::string m_body;            ///< The whole body.
+    shared_body m_body;            ///< The whole body.
     bool m_body_too_large = false; ///< Whether the body exceeded the limit and was dropped.
     bool m_local = false;          ///< Whether it was sent from this machine, and so may be a sub-call.
     bool m_over_connection_limit =
--- a/src/call/runner.cpp
+++ b/src/call/runner.cpp
@@ -60,7 +60,7 @@
 }
 
 void runner::on_call(instant now, const node_id& origin, attempt_id attempt, call incoming,
-                     std::vector<runner_action>& actions)
+                     std::vector<runner_action>& actions, rule refusing_rule)
 {
     if (is_repeated(attempt)) {
         return;
@@ -81,6 +81,10 @@
     new_call.m_exclusive = is_suspected(known_suspicion) || new_call.m_call.m_crashes > 0;
     const bool wrong_service = new_call.m_call.m_service != m_settings.m_service;
     const open_call& current = m_calls.insert_or_assign(attempt, std::move(new_call)).first->second;
+    if (refusing_rule != rule::none) {
+        refuse(now, attempt, refusal(refusing_rule), actions);
+        return;
+    }
     if (known_suspicion == suspicion::quarantined || wrong_service) {
         refuse(now, attempt, refusal(wrong_service ? rule::target_unreachable : rule::quarantined), actions);
         return;
@@ -195,7 +199,7 @@
     running.m_tokens = retry_tokens(current.m_call.m_context.m_retry_tokens);
     m_running.add(attempt, running);
     call outbound = current.m_call;
-    current.m_call.m_body.clear();
+    current.m_call.m_body.clear(); // The outbound copy keeps it until it is sent.
     const duration time_left = current.m_deadline - now;
     add_target_headers(current, attempt, time_left, outbound);
     actions.emplace_back(runner_run{attempt, std::move(outbound), time_left});
--- a/src/call/runner_base.h
+++ b/src/call/runner_base.h
@@ -61,9 +61,9 @@
     void set_target(const service_name& service, std::uint32_t slots, std::string instance = {});
 
     /** Handles a call sent by the entry of @p origin; results in exactly one runner_answer. A repeated
-     * message is ignored. */
+     * message is ignored. @param refusing_rule refuses the call without a run; rule::none if it may run. */
     void on_call(instant now, const node_id& origin, attempt_id attempt, call incoming,
-                 std::vector<runner_action>& actions);
+                 std::vector<runner_action>& actions, rule refusing_rule = rule::none);
 
     /** Cancels @p attempt, as no caller waits for it any longer. */
     void cancel(instant now, attempt_id attempt, std::vector<runner_action>& actions);
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -50,9 +50,11 @@
 } // namespace
 
 client_connection::client_connection(event_loop& loop, std::uint64_t number, const endpoint& address,
-                                     std::size_t body_limit, handlers callbacks)
+                                     std::size_t body_limit, std::shared_ptr<memory_budget> budget,
+                                     handlers callbacks)
     : m_loop(loop), m_number(number), m_address(address), m_body_limit(body_limit),
-      m_callbacks(std::move(callbacks)), m_watcher(loop, [this](int events) { on_ready(events); }),
+      m_budget(std::move(budget)), m_callbacks(std::move(callbacks)), m_held(m_budget),
+      m_watcher(loop, [this](int events) { on_ready(events); }),
       m_failure_wakeup(loop, [this] { close_with_error(m_failure); })
 {
     result<descriptor> socket = start_connect(address, socket_use::http);
@@ -77,7 +79,6 @@
         m_request->m_echo_value = *echoed;
     }
     write_request(request);
-    m_sent = 0;
     if (m_phase == phase::ready) {
         send_output();
     }
@@ -86,20 +87,22 @@
 
 void client_connection::write_request(const http_send& request)
 {
-    m_output = request.m_method + " " + request.m_path + " HTTP/1.1\r\n";
+    std::string head = request.m_method + " " + request.m_path + " HTTP/1.1\r\n";
     if (find_header(request.m_headers, "Host") == nullptr) {
-        m_output += "Host: " + to_string(request.m_address) + "\r\n";
+        head += "Host: " + to_string(request.m_address) + "\r\n";
     }
     for (const header& each : request.m_headers) {
         if (!equal_ignoring_case(each.m_name, "Content-Length")) {
-            append_header(m_output, each);
+            append_header(head, each);
         }
     }
     if (!request.m_body.empty() || always_has_length(request.m_method)) {
-        m_output += "Content-Length: " + std::to_string(request.m_body.size()) + "\r\n";
+        head += "Content-Length: " + std::to_string(request.m_body.size()) + "\r\n";
     }
-    m_output += "\r\n";
-    m_output += request.m_body;
+    head += "\r\n";
+    m_output.clear();
+    m_output.append(std::move(head));
+    m_output.append(request.m_body);
 }
 
 void client_connection::on_ready(int events)
@@ -115,7 +118,7 @@
     if ((events & EV_READ) != 0) {
         read();
     }
-    if (m_phase == phase::ready && m_request && m_sent < m_output.size()) {
+    if (m_phase == phase::ready && m_request && !m_output.empty()) {
         send_output();
     }
     update_watcher();
@@ -123,7 +126,7 @@
 
 void client_connection::send_output()
 {
-    if (!send_remaining(m_socket.get(), m_output, m_sent)) {
+    if (!m_output.send(m_socket.get())) {
         m_failure = std::strerror(errno);
         m_failure_wakeup.wake();
     }
@@ -146,6 +149,9 @@
     }
     m_input.append(buffer.data(), static_cast<std::size_t>(count));
     parse(count == 0);
+    if (m_input.empty()) {
+        m_input = std::string();
+    }
     update_held();
 }
 
@@ -155,8 +161,10 @@
     const bool has_body = m_phase == phase::ready && m_parser && m_parser->is_header_done();
     const std::size_t held =
         m_phase == phase::ready ? m_input.size() + (has_body ? m_parser->get().body().size() : 0) : 0;
-    if (held != m_held) {
-        m_callbacks.m_on_held(std::exchange(m_held, held), held);
+    const std::size_t before = m_held.size();
+    if (held != before) {
+        m_held.resize(held);
+        m_callbacks.m_on_held(before, held);
     }
 }
 
@@ -246,9 +254,10 @@
     answer.m_exchange = m_request->m_exchange;
     answer.m_status = static_cast<std::uint16_t>(message.result_int());
     answer.m_headers = to_headers(message);
-    answer.m_body = std::move(message.body());
-    const bool reusable =
-        !ends_at_eof && message.keep_alive() && m_input.empty() && m_sent == m_output.size();
+    memory_lease lease(m_budget);
+    lease.resize(message.body().size());
+    answer.m_body = shared_body(message.body().take(), std::move(lease));
+    const bool reusable = !ends_at_eof && message.keep_alive() && m_input.empty() && m_output.empty();
     if (!reusable) {
         close();
     }
@@ -273,7 +282,6 @@
     answer.m_exchange = m_request->m_exchange;
     m_request.reset();
     m_output.clear();
-    m_sent = 0;
     m_idle_since = event_loop::now();
     m_callbacks.m_on_end(*this, outcome, std::move(answer), reason);
 }
@@ -281,7 +289,7 @@
 /** Closes the connection; reports the outcome of the exchange in progress, or else the closing. */
 void client_connection::close_with_error(const std::string& reason)
 {
-    const bool sent = m_sent > 0;
+    const bool sent = m_output.sent() > 0;
     close();
     if (m_request) {
         end_exchange(sent ? exchange_outcome::lost : exchange_outcome::not_sent, {}, reason);
@@ -304,7 +312,7 @@
     if (m_phase == phase::closed || m_socket.get() < 0) {
         return;
     }
-    const bool needs_write = m_phase == phase::connecting || (m_request && m_sent < m_output.size());
+    const bool needs_write = m_phase == phase::connecting || (m_request && !m_output.empty());
     const int events = (m_phase == phase::ready ? EV_READ : 0) | (needs_write ? EV_WRITE : 0);
     if (events != m_watched_events) {
         m_watched_events = events;
--- a/src/http/client_connection_base.h
+++ b/src/http/client_connection_base.h
@@ -2,10 +2,11 @@
 #ifndef WAXWING_HTTP_CLIENT_CONNECTION_BASE_H
 #define WAXWING_HTTP_CLIENT_CONNECTION_BASE_H
 
+#include "http/body_buffer_base.h"
 #include "http/http_client_base.h"
+#include "http/output_queue_base.h"
 
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <optional>
 
@@ -46,13 +47,13 @@
 
     /** Starts to connect to @p address. @param number is unique among the connections of the client. */
     client_connection(event_loop& loop, std::uint64_t number, const endpoint& address, std::size_t body_limit,
-                      handlers callbacks);
+                      std::shared_ptr<memory_budget> budget, handlers callbacks);
 
     /** Sends @p request once the connection is established. @pre No exchange is in progress. */
     void send(const http_send& request);
 
     /** Returns whether any byte of the request may have reached the server. */
-    bool has_sent() const { return m_sent > 0; }
+    bool has_sent() const { return m_output.sent() > 0; }
 
     /** Returns whether the connection is established and has no exchange in progress. */
     bool is_reusable() const { return m_phase == phase::ready && !m_request; }
@@ -60,7 +61,7 @@
     std::uint64_t number() const { return m_number; }
 
     /** Returns the bytes held of an unfinished answer. */
-    std::size_t held() const { return m_held; }
+    std::size_t held() const { return m_held.size(); }
 
     const endpoint& address() const { return m_address; }
 
@@ -77,7 +78,7 @@
     void close();
 
 private:
-    using parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+    using parser = boost::beast::http::response_parser<buffered_body>;
 
     /** State of the connection. */
     enum class phase { connecting, ready, closed };
@@ -98,15 +99,15 @@
     std::uint64_t m_number; ///< Unique among the connections of the client.
     endpoint m_address;
     std::size_t m_body_limit;
+    std::shared_ptr<memory_budget> m_budget; ///< Null if answers are not counted.
     handlers m_callbacks;
     descriptor m_socket;
     phase m_phase = phase::connecting;
-    std::string m_output;           ///< The serialised request.
-    std::size_t m_sent = 0;         ///< Bytes of m_output that have been written to the socket.
+    output_queue m_output;          ///< The request.
     std::string m_input;            ///< Bytes received and not yet parsed.
     std::optional<parser> m_parser; ///< Parses the answer.
     std::optional<open_exchange> m_request;
-    std::size_t m_held = 0; ///< Last value passed to m_on_held.
+    memory_lease m_held; ///< Bytes held of an unfinished answer, as last passed to m_on_held.
     instant m_idle_since{};
     duration m_server_idle_timeout = duration::max();
     int m_watched_events = 0;
--- a/src/http/connection_set_base.h
+++ b/src/http/connection_set_base.h
@@ -41,6 +41,15 @@
         return true;
     }
 
+    /** Calls @p function with each connection that has not ended; it must not add or retire any. */
+    template<class Function>
+    void for_each(Function&& function) const
+    {
+        for (const auto& [raw, connection] : m_open) {
+            function(*raw);
+        }
+    }
+
     /** Returns the number of connections that have not ended. */
     std::size_t size() const { return m_open.size(); }
 
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -131,12 +131,13 @@
         callbacks.m_on_closed = [this](client_connection& connection) { retire(connection); };
         callbacks.m_on_held = [this](std::size_t before, std::size_t now) {
             m_held += now - before;
-            if (m_held > m_settings.m_held_limit && now > before) {
+            if (now > before && (m_held > m_settings.m_held_limit || is_over_budget(now))) {
                 give_up_longest();
             }
         };
-        return m_connections.add(std::make_unique<client_connection>(
-            m_loop, ++m_last_connection, address, m_settings.m_body_limit, std::move(callbacks)));
+        return m_connections.add(
+            std::make_unique<client_connection>(m_loop, ++m_last_connection, address, m_settings.m_body_limit,
+                                                m_settings.m_budget, std::move(callbacks)));
     }
 
     /** Closes the connection that has been idle longest. @return false where none is idle. */
@@ -230,6 +231,16 @@
         assign_waiting();
     }
 
+    /** Returns whether the budget has no room for an unfinished answer of @p size bytes, and reports it. */
+    bool is_over_budget(std::size_t size) const
+    {
+        if (m_settings.m_budget == nullptr || m_settings.m_budget->has_room(0, use_of(size))) {
+            return false;
+        }
+        m_settings.m_budget->report_shortage();
+        return true;
+    }
+
     /** Gives up the exchange whose answer is the longest so far. */
     void give_up_longest()
     {
--- a/src/http/http_client_base.h
+++ b/src/http/http_client_base.h
@@ -22,6 +22,7 @@
     duration m_connect_timeout = std::chrono::seconds(1); ///< Longest time to establish a connection.
     /** Connections idle for longer are closed; the Keep-Alive header of the server may shorten it. */
     duration m_idle_timeout = std::chrono::seconds(20);
+    std::shared_ptr<memory_budget> m_budget = {}; ///< Counts answers; null if they are not counted.
 };
 
 /** One request. It is sent at most once: the client never retries a request of which any byte was sent. */
@@ -31,7 +32,7 @@
     std::string m_method;   ///< GET, POST and so on.
     std::string m_path;     ///< Path with query.
     header_list m_headers;  ///< Without Content-Length; Host only where it differs from the address.
-    std::string m_body;     ///< The whole body.
+    shared_body m_body;     ///< The whole body.
     duration m_timeout{};   ///< Longest time until the whole answer has been received.
     /** Request header that the answer must repeat; answers with another value are ignored. */
     std::string m_echoed_header = {};
@@ -43,7 +44,7 @@
     exchange_id m_exchange;
     std::uint16_t m_status = 0;
     header_list m_headers; ///< All headers.
-    std::string m_body;    ///< The whole body.
+    shared_body m_body;    ///< The whole body.
 };
 
 /** Why an exchange failed. */
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -2,7 +2,10 @@
 #include "http/connection_set_base.h"
 #include "http/server_connection_base.h"
 
+#include <algorithm>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 namespace waxwing {
 
@@ -14,15 +17,26 @@
 constexpr duration accept_retry_delay = std::chrono::milliseconds(100);
 /** The connection limit may be exceeded by one connection in so many, to send refusals on them. */
 constexpr unsigned over_limit_divisor = 10;
+/** Interval at which memory is relieved while it is short. */
+constexpr duration relief_interval = std::chrono::milliseconds(200);
+/** Time without a byte received or sent after which a connection may be evicted for memory. */
+constexpr duration min_stall_duration = std::chrono::seconds(1);
+/** Evictions free one part of so many of what large bodies may fill, so that others go on for a while. */
+constexpr std::size_t relief_divisor = 8;
 
 /** Server that parses with Boost.Beast. */
 class beast_server final : public http_server {
 public:
     beast_server(event_loop& loop, const http_server_settings& settings, handler on_event)
-        : m_context{loop, settings, false, 0, {}, {}, {}, {}, {}, {}}, m_events(loop, std::move(on_event)),
-          m_accept_watcher(loop, [this](int) { accept_connections(); }),
-          m_accept_timer(loop, [this] { resume_accepting(); }), m_connections(loop)
+        : m_context{loop, settings, false, 0, {}, {}, {}, {}, {}, {}, {}},
+          m_events(loop, std::move(on_event)), m_accept_watcher(loop, [this](int) { accept_connections(); }),
+          m_accept_timer(loop, [this] { resume_accepting(); }),
+          m_memory_timer(loop, [this] { relieve_memory(); }), m_connections(loop)
     {
+        m_context.m_on_paused = [this] { expect_relief(); };
+        if (settings.m_budget != nullptr) {
+            settings.m_budget->set_shortage_handler([this] { expect_relief(); });
+        }
         m_context.m_begin_exchange = [this](server_connection& connection) {
             const exchange_id id{++m_last_exchange};
             m_exchanges.emplace(id, &connection);
@@ -46,6 +60,13 @@
         m_context.m_on_closed = [this](server_connection& connection) { retire(connection); };
     }
 
+    ~beast_server() override
+    {
+        if (m_context.m_settings.m_budget != nullptr) {
+            m_context.m_settings.m_budget->set_shortage_handler(nullptr);
+        }
+    }
+
     /** Starts to listen. */
     result<void> start()
     {
@@ -69,8 +90,10 @@
     void configure(const http_server_settings& settings) override
     {
         const endpoint address = m_context.m_settings.m_address;
+        std::shared_ptr<memory_budget> budget = m_context.m_settings.m_budget;
         m_context.m_settings = settings;
         m_context.m_settings.m_address = address;
+        m_context.m_settings.m_budget = std::move(budget);
     }
 
     void report_refusals(refusal_handler on_refused) override { m_on_refused = std::move(on_refused); }
@@ -150,6 +173,48 @@
         }
     }
 
+    /** Sets the timer after which memory is relieved, unless it is set. */
+    void expect_relief()
+    {
+        if (!m_memory_timer.pending()) {
+            m_memory_timer.set(relief_interval);
+        }
+    }
+
+    /**
+     * Evicts the connections that hold most and neither receive nor send, until there is room again; then
+     * resumes reading. A connection that is paused counts as one that does not receive: otherwise requests
+     * that together exceed the budget would wait for each other.
+     */
+    void relieve_memory()
+    {
+        const memory_budget& budget = *m_context.m_settings.m_budget;
+        const instant now = event_loop::now();
+        std::vector<std::pair<std::size_t, server_connection*>> holders;
+        std::vector<server_connection*> paused;
+        m_connections.for_each([&](server_connection& connection) {
+            if (now - connection.last_activity_at() >= min_stall_duration && connection.held() > 0) {
+                holders.emplace_back(connection.held(), &connection);
+            }
+            if (connection.is_paused()) {
+                paused.push_back(&connection);
+            }
+        });
+        std::sort(holders.rbegin(), holders.rend());
+        const std::size_t target = budget.large_limit() - budget.large_limit() / relief_divisor;
+        for (const auto& [held, connection] : holders) {
+            if (budget.used() <= target) {
+                break;
+            }
+            connection->evict();
+        }
+        for (server_connection* const connection : paused) {
+            if (connection->is_paused()) {
+                connection->resume();
+            }
+        }
+    }
+
     /** Removes @p connection, to be destroyed once the current handler has returned. */
     void retire(server_connection& connection)
     {
@@ -166,6 +231,7 @@
     descriptor m_listener;
     io_watcher m_accept_watcher;
     timer m_accept_timer;    ///< Resumes accepting where no connection is open whose end would do so.
+    timer m_memory_timer;    ///< Relieves memory after a shortage.
     bool m_accepting = true; ///< Whether m_accept_watcher watches the listener.
     connection_set<server_connection> m_connections;
     std::list<server_connection*> m_idle; ///< Idle longest first.
--- a/src/http/http_server_base.h
+++ b/src/http/http_server_base.h
@@ -21,6 +21,7 @@
     unsigned m_connection_limit = 1000;     ///< Most open connections; see http_server.
     duration m_request_timeout = std::chrono::seconds(10); ///< Longest time to receive one request.
     duration m_idle_timeout = std::chrono::seconds(30);    ///< Connections idle for longer are closed.
+    std::shared_ptr<memory_budget> m_budget = {};          ///< Counts bodies; null if they are not counted.
 };
 
 /**
@@ -32,7 +33,7 @@
     std::string m_method;   ///< GET, POST and so on.
     std::string m_path;     ///< Path with query, as it was sent.
     header_list m_headers;  ///< All headers, Host included.
-    std::string m_body;     ///< The whole body; empty where it was over the limit.
+    shared_body m_body;     ///< The whole body; empty where it was over the limit.
     /** Whether the body was over the limit; the connection closes after the reply. */
     bool m_body_too_large = false;
     std::string m_peer; ///< IP address of the client.
@@ -45,9 +46,9 @@
     exchange_id m_exchange;
 };
 
-/** The server has refused a request that it could not read: malformed, too long or too late. */
+/** The server has refused a request that it could not read: malformed, too long, too late, or no memory. */
 struct http_refusal {
-    std::uint16_t m_status = 0; ///< Status of the reply: 400, 408 or 431.
+    std::uint16_t m_status = 0; ///< Status of the reply: 400, 408, 431 or 503.
     std::string m_peer;         ///< IP address of the client.
 };
 
@@ -60,7 +61,7 @@
     std::uint16_t m_status = 0;
     /** Transfer-Encoding, Connection and Keep-Alive are dropped; Content-Length is used for HEAD only. */
     header_list m_headers;
-    std::string m_body; ///< The whole body.
+    shared_body m_body; ///< The whole body.
 };
 
 /**
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -29,6 +29,7 @@
 constexpr unsigned fallback_status = 500;
 constexpr unsigned bad_request_status = 400;
 constexpr unsigned header_limit_status = 431;
+constexpr unsigned unavailable_status = 503;
 constexpr unsigned no_content = 204;
 constexpr unsigned not_modified = 304;
 
@@ -52,7 +53,7 @@
 
 server_connection::server_connection(server_context& context, accepted_connection accepted, bool over_limit)
     : m_context(context), m_socket(std::move(accepted.m_socket)), m_peer(std::move(accepted.m_peer.m_host)),
-      m_over_limit(over_limit), m_last_activity_at(event_loop::now()),
+      m_over_limit(over_limit), m_lease(context.m_settings.m_budget), m_last_activity_at(event_loop::now()),
       m_watcher(context.m_loop, [this](int events) { on_ready(events); }),
       m_timer(context.m_loop, [this] { on_timer(); })
 {
@@ -67,10 +68,10 @@
 
 void server_connection::on_ready(int events)
 {
-    m_last_activity_at = event_loop::now();
     if ((events & EV_WRITE) != 0) {
         send_output();
         parse();
+        update_lease();
     }
     if ((events & EV_READ) != 0 && m_phase != phase::closed) {
         read();
@@ -81,7 +82,12 @@
 void server_connection::read()
 {
     static thread_local std::array<char, read_size> buffer;
-    for (int read_count = 0; read_count < max_reads; ++read_count) {
+    for (int read_count = 0; read_count < max_reads && m_phase != phase::closed; ++read_count) {
+        if (!has_room()) {
+            m_paused = true;
+            m_context.m_on_paused();
+            return;
+        }
         const ssize_t count = recv(m_socket.get(), buffer.data(), buffer.size(), 0);
         if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
             break;
@@ -90,14 +96,16 @@
             close();
             return;
         }
+        m_last_activity_at = event_loop::now();
         if (m_phase == phase::open && !m_last_received) {
             m_input.append(buffer.data(), static_cast<std::size_t>(count));
         }
+        parse();
+        update_lease();
         if (static_cast<std::size_t>(count) < buffer.size()) {
             break;
         }
     }
-    parse();
 }
 
 /** Parses the received bytes and delivers whole requests, up to the limits on pipelining and output. */
@@ -147,7 +155,7 @@
  */
 bool server_connection::is_full() const
 {
-    return m_pending.size() >= pipeline_limit || m_output.size() - m_sent >= output_limit;
+    return m_pending.size() >= pipeline_limit || m_output.size() >= output_limit;
 }
 
 /** Refuses a request in which the parser waits for the end of a line, such as a chunk extension, for too
@@ -180,7 +188,7 @@
         return;
     }
     m_continue_sent = true;
-    m_output += "HTTP/1.1 100 Continue\r\n\r\n";
+    m_output.append(std::string("HTTP/1.1 100 Continue\r\n\r\n"));
     send_output();
 }
 
@@ -196,7 +204,12 @@
     request.m_method = std::string(message.method_string());
     request.m_path = std::string(message.target());
     request.m_headers = to_headers(message);
-    request.m_body = body_too_large ? std::string{} : std::move(message.body());
+    if (!body_too_large) {
+        memory_lease lease(m_context.m_settings.m_budget);
+        lease.resize(message.body().size());
+        request.m_body = shared_body(message.body().take(), std::move(lease));
+    }
+    m_lease.resize(0);
     request.m_body_too_large = body_too_large;
     request.m_peer = m_peer;
     request.m_over_connection_limit = m_over_limit;
@@ -208,7 +221,8 @@
 void server_connection::refuse(unsigned status)
 {
     m_parser.reset();
-    m_input.clear();
+    m_input = std::string();
+    m_lease.resize(0);
     m_last_received = true;
     const exchange_id id = m_context.m_begin_exchange(*this);
     m_pending.push_back({id, false, true, std::nullopt});
@@ -227,6 +241,7 @@
     position->m_reply = std::move(reply);
     flush_replies();
     parse();
+    update_lease();
     update();
 }
 
@@ -251,47 +266,43 @@
     const bool valid = reply.m_status >= first_status && reply.m_status <= last_status;
     const unsigned status = valid ? reply.m_status : fallback_status;
     const auto reason = beast_http::obsolete_reason(beast_http::int_to_status(status));
-    m_output += "HTTP/1.1 " + std::to_string(status) + " ";
-    m_output.append(reason.data(), reason.size());
-    m_output += "\r\n";
+    std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
+    head.append(reason.data(), reason.size());
+    head += "\r\n";
     for (const header& each : reply.m_headers) {
         if (!is_framing_header(each.m_name)) {
-            append_header(m_output, each);
+            append_header(head, each);
         }
     }
     const bool bodiless = status == no_content || status == not_modified;
     const std::string* const content_length = find_header(reply.m_headers, "Content-Length");
     if (exchange.m_is_head && content_length != nullptr && reply.m_body.empty()) {
-        m_output += "Content-Length: " + *content_length + "\r\n";
+        head += "Content-Length: " + *content_length + "\r\n";
     }
     else if (!bodiless) {
-        m_output += "Content-Length: " + std::to_string(reply.m_body.size()) + "\r\n";
+        head += "Content-Length: " + std::to_string(reply.m_body.size()) + "\r\n";
     }
-    m_output += exchange.m_close_after ? "Connection: close\r\n\r\n" : "\r\n";
+    head += exchange.m_close_after ? "Connection: close\r\n\r\n" : "\r\n";
+    m_output.append(std::move(head));
     if (!exchange.m_is_head && !bodiless) {
-        m_output += reply.m_body;
+        m_output.append(reply.m_body);
     }
 }
 
 void server_connection::send_output()
 {
-    const std::size_t before = m_sent;
-    const bool socket_ok = send_remaining(m_socket.get(), m_output, m_sent);
-    if (m_sent > before) {
+    const std::uint64_t before = m_output.sent();
+    const bool socket_ok = m_output.send(m_socket.get());
+    if (m_output.sent() > before) {
         m_last_activity_at = event_loop::now();
     }
     if (!socket_ok) {
         close();
         return;
     }
-    if (m_sent < m_output.size()) {
-        if (m_sent > m_output.size() / 2) {
-            m_output.erase(0, std::exchange(m_sent, 0));
-        }
+    if (!m_output.empty()) {
         return;
     }
-    m_output.clear();
-    m_sent = 0;
     shutdown_if_done();
 }
 
@@ -320,6 +331,10 @@
         m_context.m_on_end(exchange.m_id, true);
     }
     m_pending.clear();
+    m_parser.reset();
+    m_input = std::string();
+    m_output.clear();
+    m_lease.resize(0);
     update_sending();
     m_context.m_on_closed(*this);
 }
@@ -354,6 +369,57 @@
     close();
 }
 
+std::size_t server_connection::held() const
+{
+    std::size_t sum = m_lease.size() + m_output.size();
+    for (const pending_exchange& exchange : m_pending) {
+        sum += exchange.m_reply ? exchange.m_reply->m_body.size() : 0;
+    }
+    return sum;
+}
+
+/** Returns whether the budget has room for one more read. */
+bool server_connection::has_room() const
+{
+    const std::shared_ptr<memory_budget>& budget = m_context.m_settings.m_budget;
+    if (budget == nullptr || m_phase != phase::open || m_last_received) {
+        return true;
+    }
+    std::size_t expected = m_lease.size();
+    if (m_parser && m_parser->is_header_done()) {
+        expected = std::max<std::size_t>(expected, m_parser->content_length().value_or(0));
+    }
+    return budget->has_room(read_size, use_of(expected));
+}
+
+/** Counts the bytes received of an unfinished request. */
+void server_connection::update_lease()
+{
+    if (m_input.empty()) {
+        m_input = std::string(); // Frees the buffer: there may be thousands of connections.
+    }
+    const bool has_body = m_parser && m_parser->is_header_done();
+    m_lease.resize(m_input.size() + (has_body ? m_parser->get().body().size() : 0));
+}
+
+void server_connection::resume()
+{
+    m_paused = false;
+    update();
+}
+
+void server_connection::evict()
+{
+    m_paused = false;
+    const bool receives = m_phase == phase::open && !m_last_received && (m_parser || !m_input.empty());
+    if (!receives || !m_output.empty()) {
+        close();
+        return;
+    }
+    refuse(unavailable_status);
+    update();
+}
+
 /** Counts the connection while it has unsent output. */
 void server_connection::update_sending()
 {
@@ -372,7 +438,7 @@
     }
     update_sending();
     // Some input is read even while none is parsed, as only reading shows that the client has left.
-    const bool reads = !is_full() || m_input.size() < input_limit;
+    const bool reads = !m_paused && (!is_full() || m_input.size() < input_limit);
     const int events = (reads ? EV_READ : 0) | (m_output.empty() ? 0 : EV_WRITE);
     if (events != m_watched_events) {
         m_watched_events = events;
--- a/src/http/server_connection_base.h
+++ b/src/http/server_connection_base.h
@@ -2,10 +2,11 @@
 #ifndef WAXWING_HTTP_SERVER_CONNECTION_BASE_H
 #define WAXWING_HTTP_SERVER_CONNECTION_BASE_H
 
+#include "http/body_buffer_base.h"
 #include "http/http_server_base.h"
+#include "http/output_queue_base.h"
 
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <deque>
 #include <list>
@@ -32,6 +33,8 @@
     std::function<void(http_refusal&&)> m_on_refused;
     /** The connection has become idle or busy. */
     std::function<void(server_connection&, bool idle)> m_on_idle;
+    /** A connection has stopped reading for lack of memory. */
+    std::function<void()> m_on_paused;
     /** The connection has ended and must be destroyed, but not from within this call. */
     std::function<void(server_connection&)> m_on_closed;
 };
@@ -50,6 +53,22 @@
     /** Closes the connection at once; pending exchanges end as disconnected. */
     void close();
 
+    /** Returns the bytes held of the request that is being received, and of unsent replies. */
+    std::size_t held() const;
+
+    /** Returns when a byte of what is held was last received or sent. */
+    instant last_activity_at() const { return m_last_activity_at; }
+
+    /** Returns whether the connection does not read for lack of memory. */
+    bool is_paused() const { return m_paused; }
+
+    /** Reads again after a pause. */
+    void resume();
+
+    /** Releases what the connection holds: refuses the request that is being received with 503, since it has
+     * not run, or closes the connection if the client does not read its replies. */
+    void evict();
+
     /** Returns whether no request or reply is in progress. */
     bool is_idle() const;
 
@@ -57,7 +76,7 @@
     std::optional<std::list<server_connection*>::iterator> m_idle_position;
 
 private:
-    using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using parser = boost::beast::http::request_parser<buffered_body>;
 
     /** State of the connection. */
     enum class phase {
@@ -89,6 +108,8 @@
     void shutdown_if_done();
     void update();
     void update_sending();
+    bool has_room() const;
+    void update_lease();
     void refuse_endless_line();
     duration timeout() const;
 
@@ -102,8 +123,9 @@
     bool m_continue_sent = false;   ///< Whether 100 Continue was sent for this request.
     bool m_last_received = false;   ///< Whether the last request has been received; further input is ignored.
     std::deque<pending_exchange> m_pending; ///< Oldest first.
-    std::string m_output;                   ///< Bytes to send.
-    std::size_t m_sent = 0;                 ///< Bytes of m_output that have been sent.
+    output_queue m_output;                  ///< Replies to send.
+    memory_lease m_lease;                   ///< Counts the request that is being received.
+    bool m_paused = false;                  ///< Whether it does not read for lack of memory.
     int m_watched_events = 0;               ///< Events that m_watcher watches.
     bool m_reported_idle = false;           ///< Last state passed to m_on_idle.
     bool m_counted_sending = false;         ///< Whether the connection is counted in m_context.m_sending.
--- a/src/link/chunk_receiver_base.h
+++ b/src/link/chunk_receiver_base.h
@@ -18,6 +18,8 @@
     bool m_complete = false;               ///< Whether it completed a message.
     std::string_view m_unchunked; ///< A message sent in a single frame; valid as long as the frame's bytes.
     std::string m_reassembled;    ///< A message reassembled from chunks.
+    memory_lease m_lease;         ///< Counts m_reassembled.
+    bool m_body_dropped = false; ///< Whether the body was dropped for lack of memory; m_reassembled lacks it.
 
     /** Returns the complete message. @pre m_complete. */
     std::string_view message() const { return m_kind == frame_kind::whole ? m_unchunked : m_reassembled; }
@@ -29,7 +31,11 @@
  */
 class chunk_receiver {
 public:
-    explicit chunk_receiver(const chunk_limits& limits) : m_limits(limits) {}
+    /** @param budget counts the chunks; null if they are not counted. */
+    explicit chunk_receiver(const chunk_limits& limits, std::shared_ptr<memory_budget> budget = nullptr)
+        : m_limits(limits), m_budget(std::move(budget))
+    {
+    }
 
     /** Processes one @p frame. @return an error if it is malformed or exceeds the limits. */
     result<incoming_frame> accept(std::string_view frame);
@@ -40,8 +46,12 @@
 private:
     /** A message of which some chunks have been received. */
     struct partial_message {
-        std::size_t m_size = 0; ///< Announced length of the message, in bytes.
-        std::string m_bytes;    ///< Bytes received so far.
+        std::size_t m_size = 0;       ///< Announced length of the message, in bytes.
+        std::size_t m_received = 0;   ///< Bytes received so far.
+        std::string m_bytes;          ///< Bytes received so far, without a dropped body.
+        memory_lease m_lease;         ///< Counts the message.
+        bool m_drops_body = false;    ///< Whether the message does not fit the budget.
+        bool m_head_complete = false; ///< With m_drops_body: whether m_bytes is the whole head.
     };
 
     result<incoming_frame> accept_whole(std::string_view chunk);
@@ -50,6 +60,7 @@
     void append(partial_message& message, std::string_view chunk);
 
     chunk_limits m_limits;
+    std::shared_ptr<memory_budget> m_budget;
     std::map<std::uint32_t, partial_message> m_partial_messages; ///< Keyed by stream.
     std::size_t m_announced_bytes = 0; ///< Sum of the announced lengths in m_partial_messages.
     std::size_t m_buffered_bytes = 0;  ///< Sum of the bytes received in m_partial_messages.
--- a/src/link/chunk_sender.cpp
+++ b/src/link/chunk_sender.cpp
@@ -130,11 +130,11 @@
         if (at == m_messages.end() || !encode(at)) {
             continue;
         }
-        if (at->second.m_encoded.size() > chunk_size) {
+        if (at->second.encoded_size() > chunk_size) {
             m_large.push_back(at->first);
             continue;
         }
-        m_small_credit_bytes -= std::min(m_small_credit_bytes, at->second.m_encoded.size());
+        m_small_credit_bytes -= std::min(m_small_credit_bytes, at->second.encoded_size());
         return make_frame(at);
     }
     return std::nullopt;
@@ -149,11 +149,11 @@
             continue;
         }
         outgoing& entry = at->second;
-        if (entry.m_framed_bytes == 0 && entry.m_encoded.size() > chunk_size &&
+        if (entry.m_framed_bytes == 0 && entry.encoded_size() > chunk_size &&
             !open_stream(entry, stream_class::control)) {
             return std::nullopt;
         }
-        const bool last = entry.m_encoded.size() - entry.m_framed_bytes <= chunk_size;
+        const bool last = entry.encoded_size() - entry.m_framed_bytes <= chunk_size;
         if (last) {
             m_control.pop_front();
         }
@@ -170,7 +170,7 @@
     }
     const auto at = m_messages.find(m_open_large.front());
     m_open_large.pop_front();
-    const bool last = at->second.m_encoded.size() - at->second.m_framed_bytes <= chunk_size;
+    const bool last = at->second.encoded_size() - at->second.m_framed_bytes <= chunk_size;
     if (!last) {
         m_open_large.push_back(at->first);
     }
@@ -193,7 +193,7 @@
 
 bool chunk_sender::open_stream(outgoing& entry, stream_class message_class)
 {
-    const std::size_t size = entry.m_encoded.size();
+    const std::size_t size = entry.encoded_size();
     const std::size_t reserved_streams =
         message_class == stream_class::large && m_open_stream_count > 0 ? 1 : 0;
     const std::size_t reserved_bytes =
@@ -211,14 +211,15 @@
 bool chunk_sender::encode(outgoing_map::iterator at)
 {
     outgoing& entry = at->second;
-    if (!entry.m_encoded.empty()) {
+    if (!entry.m_head.empty()) {
         return true;
     }
-    entry.m_encoded = encode_message(*entry.m_message);
+    entry.m_head = encode_head(*entry.m_message);
+    entry.m_body = body_of(*entry.m_message);
     const auto* control = std::get_if<control_message>(&*entry.m_message);
-    const bool fits = entry.m_encoded.size() <= std::min(m_limits.m_message, m_limits.m_reassembly) &&
+    const bool fits = entry.encoded_size() <= std::min(m_limits.m_message, m_limits.m_reassembly) &&
                       (control == nullptr || control->m_payload.size() <= control_payload_limit) &&
-                      checked_item_length(entry.m_encoded).has_value();
+                      checked_item_length(entry.m_head).has_value();
     if (!fits) {
         m_unsendable.push_back(*remove(at));
     }
@@ -228,22 +229,30 @@
 outgoing_frame chunk_sender::make_frame(outgoing_map::iterator at)
 {
     outgoing& entry = at->second;
-    const std::size_t size = std::min(chunk_size, entry.m_encoded.size() - entry.m_framed_bytes);
+    const std::size_t size = std::min(chunk_size, entry.encoded_size() - entry.m_framed_bytes);
     outgoing_frame frame{at->first, {}, entry.m_framed_bytes == 0};
     frame.m_bytes.reserve(frame_header_limit + size);
-    if (size == entry.m_encoded.size()) {
+    if (size == entry.encoded_size()) {
         frame.m_bytes.push_back(static_cast<char>(frame_kind::whole));
     }
     else {
         frame.m_bytes.push_back(static_cast<char>(frame.m_first ? frame_kind::begin : frame_kind::more));
         append_uint32(frame.m_bytes, entry.m_stream);
     }
-    if (frame.m_first && size < entry.m_encoded.size()) {
-        append_uint32(frame.m_bytes, static_cast<std::uint32_t>(entry.m_encoded.size()));
+    if (frame.m_first && size < entry.encoded_size()) {
+        append_uint32(frame.m_bytes, static_cast<std::uint32_t>(entry.encoded_size()));
+    }
+    const std::size_t head_left = entry.m_head.size() - std::min(entry.m_framed_bytes, entry.m_head.size());
+    const std::size_t head_part = std::min(size, head_left);
+    if (head_part > 0) {
+        frame.m_bytes.append(entry.m_head, entry.m_framed_bytes, head_part);
+    }
+    if (size > head_part) {
+        const std::size_t from = entry.m_framed_bytes + head_part - entry.m_head.size();
+        frame.m_bytes.append(entry.m_body.text(), from, size - head_part);
     }
-    frame.m_bytes.append(entry.m_encoded, entry.m_framed_bytes, size);
     entry.m_framed_bytes += size;
-    if (entry.m_framed_bytes == entry.m_encoded.size()) {
+    if (entry.m_framed_bytes == entry.encoded_size()) {
         finish_framing(at);
     }
     return frame;
@@ -256,9 +265,10 @@
     entry.m_all_framed = true;
     if (entry.m_stream != 0) {
         --m_open_stream_count;
-        m_open_stream_bytes -= entry.m_encoded.size();
+        m_open_stream_bytes -= entry.encoded_size();
     }
-    entry.m_encoded = {};
+    entry.m_head = {};
+    entry.m_body = {};
     release_blocked_cancels(entry);
     if (!entry.m_message) {
         m_memory -= entry.m_memory;
--- a/src/link/chunk_sender_base.h
+++ b/src/link/chunk_sender_base.h
@@ -64,14 +64,18 @@
 private:
     /** A message that is queued or partly sent. */
     struct outgoing {
-        std::optional<link_message> m_message;      ///< Until a byte of it was written to the socket.
-        std::optional<attempt_id> m_call_attempt;   ///< The attempt, if the message is a call.
-        std::string m_encoded;                      ///< The encoded message, until its last frame was made.
-        std::size_t m_framed_bytes = 0;             ///< Bytes of m_encoded that are in frames.
-        std::size_t m_memory = 0;                   ///< Estimated memory, in bytes.
-        std::uint32_t m_stream = 0;                 ///< The stream of a message sent in chunks; zero if none.
-        bool m_all_framed = false;                  ///< Whether its last frame was made.
+        std::optional<link_message> m_message;    ///< Until a byte of it was written to the socket.
+        std::optional<attempt_id> m_call_attempt; ///< The attempt, if the message is a call.
+        std::string m_head;             ///< Encoded without its body, until its last frame was made.
+        shared_body m_body;             ///< The body that follows m_head.
+        std::size_t m_framed_bytes = 0; ///< Bytes of m_head and m_body that are in frames.
+        std::size_t m_memory = 0;       ///< Estimated memory, in bytes.
+        std::uint32_t m_stream = 0;     ///< The stream of a message sent in chunks; zero if none.
+        bool m_all_framed = false;      ///< Whether its last frame was made.
         std::vector<outgoing_id> m_blocked_cancels; ///< Cancels to queue after its last frame.
+
+        /** Returns the length of the encoded message. */
+        std::size_t encoded_size() const { return m_head.size() + m_body.size(); }
     };
 
     /** Classes of messages that share the streams. */
--- a/src/link/codec.cpp
+++ b/src/link/codec.cpp
@@ -31,57 +31,51 @@
     return list;
 }
 
-/** Encodes the array @p fields and appends @p body. */
-std::string encode_fields(const json& fields, std::string_view body)
+/** Encodes the array @p fields. */
+std::string encode_fields(const json& fields)
 {
     std::string bytes;
     constexpr std::size_t typical_header_size = 512;
-    bytes.reserve(typical_header_size + body.size());
+    bytes.reserve(typical_header_size);
     json::to_cbor(fields, nlohmann::detail::output_adapter<char>(bytes));
-    bytes.append(body);
     return bytes;
 }
 
-/** Encodes each alternative of link_message. */
+/** Encodes the array of each alternative of link_message. */
 struct message_encoder {
     std::string operator()(const call_message& message) const
     {
         const call& request = message.m_call;
         const call_context& context = request.m_context;
-        return encode_fields(
-            json::array({wire_kind::call, request.m_body.size(), message.m_attempt.m_value,
-                         request.m_service.m_value, request.m_kind.m_value, request.m_caller.m_value,
-                         request.m_idempotent, request.m_method, request.m_path, to_json(request.m_headers),
-                         request.m_idempotency_key, request.m_fingerprint, context.m_root.m_value,
-                         context.m_priority.m_value, context.m_time_left.count(), context.m_retry_tokens,
-                         context.m_depth, request.m_crashes, context.m_repeat}),
-            request.m_body);
+        return encode_fields(json::array(
+            {wire_kind::call, request.m_body.size(), message.m_attempt.m_value, request.m_service.m_value,
+             request.m_kind.m_value, request.m_caller.m_value, request.m_idempotent, request.m_method,
+             request.m_path, to_json(request.m_headers), request.m_idempotency_key, request.m_fingerprint,
+             context.m_root.m_value, context.m_priority.m_value, context.m_time_left.count(),
+             context.m_retry_tokens, context.m_depth, request.m_crashes, context.m_repeat}));
     }
 
     std::string operator()(const answer_message& message) const
     {
         const answer& response = message.m_answer;
         const load_report& load = response.m_load;
-        return encode_fields(
-            json::array(
-                {wire_kind::answer, response.m_body.size(), message.m_attempt.m_value,
-                 to_string(response.m_state), info_of(response.m_rule).m_name, response.m_status,
-                 to_json(response.m_headers), response.m_retry_after.count(), response.m_retry_tokens,
-                 json::array({load.m_in_progress, load.m_queued, load.m_limit, load.m_threshold.m_value}),
-                 response.m_final}),
-            response.m_body);
+        return encode_fields(json::array(
+            {wire_kind::answer, response.m_body.size(), message.m_attempt.m_value,
+             to_string(response.m_state), info_of(response.m_rule).m_name, response.m_status,
+             to_json(response.m_headers), response.m_retry_after.count(), response.m_retry_tokens,
+             json::array({load.m_in_progress, load.m_queued, load.m_limit, load.m_threshold.m_value}),
+             response.m_final}));
     }
 
     std::string operator()(const cancel_message& message) const
     {
-        return encode_fields(json::array({wire_kind::cancel, 0U, message.m_attempt.m_value}), {});
+        return encode_fields(json::array({wire_kind::cancel, 0U, message.m_attempt.m_value}));
     }
 
     std::string operator()(const control_message& message) const
     {
-        return encode_fields(json::array({wire_kind::control, message.m_payload.size(),
-                                          name_in(control_topic_names, message.m_topic)}),
-                             message.m_payload);
+        return encode_fields(json::array(
+            {wire_kind::control, message.m_payload.size(), name_in(control_topic_names, message.m_topic)}));
     }
 };
 
@@ -209,7 +203,7 @@
 }
 
 /** Decodes a call_message. */
-result<link_message> read_call(const json& fields, std::string_view body)
+result<link_message> read_call(const json& fields, shared_body body, bool body_dropped)
 {
     call_message message;
     call& request = message.m_call;
@@ -234,12 +228,13 @@
     if (!reader.valid()) {
         return malformed_field("call");
     }
-    request.m_body = body;
+    request.m_body = std::move(body);
+    message.m_body_dropped = body_dropped;
     return link_message(std::move(message));
 }
 
 /** Decodes an answer_message. A state or rule of a newer version becomes `unknown` or `internal`. */
-result<link_message> read_answer(const json& fields, std::string_view body)
+result<link_message> read_answer(const json& fields, shared_body body, bool body_dropped)
 {
     answer_message message;
     answer& response = message.m_answer;
@@ -260,7 +255,11 @@
     }
     response.m_state = run_state_of(state).value_or(run_state::unknown);
     response.m_rule = rule_of(rule_name).value_or(rule::internal);
-    response.m_body = body;
+    response.m_body = std::move(body);
+    if (body_dropped) {
+        response.m_rule = rule::out_of_memory;
+        response.m_headers.clear();
+    }
     return link_message(std::move(message));
 }
 
@@ -277,7 +276,7 @@
 }
 
 /** Decodes a control_message. */
-result<link_message> read_control(const json& fields, std::string_view body)
+result<link_message> read_control(const json& fields, const std::string& body)
 {
     std::string topic;
     field_reader reader(fields, first_field_index);
@@ -286,25 +285,25 @@
     if (!reader.valid() || !parsed_topic || body.size() > control_payload_limit) {
         return malformed_field("control");
     }
-    return link_message(control_message{*parsed_topic, std::string(body)});
+    return link_message(control_message{*parsed_topic, body});
 }
 
 /** Decodes the message whose CBOR array is @p fields. */
-result<link_message> read_message(const json& fields, std::string_view body)
+result<link_message> read_message(const json& fields, shared_body body, bool body_dropped)
 {
     std::uint64_t kind = 0;
     std::uint64_t body_size = 0;
     field_reader reader(fields, kind_index);
     reader.read(kind);
     reader.read(body_size);
-    if (!reader.valid() || body_size != body.size()) {
+    if (!reader.valid() || (body_dropped ? !body.empty() : body_size != body.size())) {
         return malformed_field("link");
     }
     switch (kind) {
     case static_cast<std::uint64_t>(wire_kind::call):
-        return read_call(fields, body);
+        return read_call(fields, std::move(body), body_dropped);
     case static_cast<std::uint64_t>(wire_kind::answer):
-        return read_answer(fields, body);
+        return read_answer(fields, std::move(body), body_dropped);
     case static_cast<std::uint64_t>(wire_kind::cancel):
         return read_cancel(fields);
     case static_cast<std::uint64_t>(wire_kind::control):
@@ -316,24 +315,47 @@
 
 } // namespace
 
-std::string encode_message(const link_message& message)
+std::string encode_head(const link_message& message)
 {
     return std::visit(message_encoder{}, message);
 }
 
-result<link_message> decode_message(std::string_view bytes)
+shared_body body_of(const link_message& message)
+{
+    if (const auto* const request = std::get_if<call_message>(&message)) {
+        return request->m_call.m_body;
+    }
+    if (const auto* const response = std::get_if<answer_message>(&message)) {
+        return response->m_answer.m_body;
+    }
+    const auto* const control = std::get_if<control_message>(&message);
+    return control == nullptr ? shared_body() : shared_body(control->m_payload);
+}
+
+std::string encode_message(const link_message& message)
+{
+    return encode_head(message) + body_of(message).text();
+}
+
+result<link_message> decode_message(std::string&& bytes, memory_lease lease, bool body_dropped)
 {
     const result<std::size_t> length = checked_item_length(bytes);
     if (length.has_error()) {
         return length.error();
     }
-    const std::string_view head = bytes.substr(0, length.value());
+    const std::string_view head = std::string_view(bytes).substr(0, length.value());
     const json fields = json::from_cbor(head.begin(), head.end(), true, false);
     if (!fields.is_array() || fields.size() < first_field_index) {
         return fail(error_code::invalid,
                     "the message does not begin with a CBOR array of at least two fields");
     }
-    return read_message(fields, bytes.substr(length.value()));
+    bytes.erase(0, length.value());
+    return read_message(fields, shared_body(std::move(bytes), std::move(lease)), body_dropped);
+}
+
+result<link_message> decode_message(std::string_view bytes)
+{
+    return decode_message(std::string(bytes), memory_lease{}, false);
 }
 
 } // namespace waxwing
--- a/src/link/connection.cpp
+++ b/src/link/connection.cpp
@@ -156,14 +156,14 @@
         on_handshake_message(frame);
         return;
     }
-    const result<incoming_frame> incoming = m_receiver->accept(frame);
+    result<incoming_frame> incoming = m_receiver->accept(frame);
     if (incoming.has_error()) {
         m_failed = true;
         m_failure_reason = link_end_reason::malformed;
         return;
     }
     if (incoming.value().m_complete) {
-        on_complete_message(incoming.value().message());
+        on_complete_message(std::move(incoming).value());
         return;
     }
     if (incoming.value().m_kind == frame_kind::leave || incoming.value().m_kind == frame_kind::leave_done) {
@@ -193,14 +193,20 @@
     m_authenticated_at = event_loop::now();
     m_websocket->set_frame_limit(frame_header_limit + chunk_size);
     m_sender.emplace(common_limits(m_context.m_limits, m_handshake.peer_hello()));
-    m_receiver.emplace(m_context.m_limits);
+    m_receiver.emplace(m_context.m_limits, m_context.m_settings.m_budget);
     set_timer();
     m_context.m_owner.on_authenticated(*this);
 }
 
-void link_connection::on_complete_message(std::string_view bytes)
+void link_connection::on_complete_message(incoming_frame&& frame)
 {
-    result<link_message> message = decode_message(bytes);
+    if (frame.m_kind == frame_kind::whole) {
+        frame.m_reassembled = frame.m_unchunked;
+        frame.m_lease = memory_lease(m_context.m_settings.m_budget);
+        frame.m_lease.resize(frame.m_reassembled.size());
+    }
+    result<link_message> message =
+        decode_message(std::move(frame.m_reassembled), std::move(frame.m_lease), frame.m_body_dropped);
     if (message.has_error()) {
         m_failed = true;
         m_failure_reason = link_end_reason::malformed;
--- a/src/link/connection_base.h
+++ b/src/link/connection_base.h
@@ -140,7 +140,7 @@
     void on_frame(std::string_view frame);
     void on_handshake_message(std::string_view bytes);
     void complete_handshake();
-    void on_complete_message(std::string_view bytes);
+    void on_complete_message(incoming_frame&& frame);
     bool read();
     void fill_output();
     bool write();
--- a/src/link/link_base.h
+++ b/src/link/link_base.h
@@ -17,8 +17,8 @@
     node_id m_self;                                       ///< This node.
     endpoint m_listen;                                    ///< Address on which the task listens.
     std::string m_shared_key;                             ///< Key shared by all nodes of the fleet.
-    std::size_t m_message_limit = 20 * 1024 * 1024;       ///< Maximum message length, in bytes.
-    std::size_t m_queue_limit = 64 * 1024 * 1024;         ///< Maximum memory queued per peer, in bytes.
+    std::size_t m_message_limit = 66 * 1024 * 1024;       ///< Maximum message length, in bytes.
+    std::size_t m_queue_limit = 80 * 1024 * 1024;         ///< Maximum memory queued per peer, in bytes.
     unsigned m_link_limit = 1200;                         ///< Maximum number of links in both directions.
     duration m_heartbeat = std::chrono::seconds(2);       ///< Interval of pings on an idle link.
     duration m_silence_timeout = std::chrono::seconds(6); ///< Maximum time without received bytes.
@@ -29,6 +29,7 @@
     duration m_handshake_timeout = std::chrono::seconds(3);          ///< Maximum time until a link is up.
     duration m_min_reconnect_delay = std::chrono::milliseconds(100); ///< Initial bound of the random delay.
     duration m_max_reconnect_delay = std::chrono::seconds(10);       ///< Maximum bound of the random delay.
+    std::shared_ptr<memory_budget> m_budget = {}; ///< Counts messages; null if they are not counted.
 };
 
 /** The first link to @ref m_peer is up, whichever side opened it. */
--- a/src/link/message_type.h
+++ b/src/link/message_type.h
@@ -13,6 +13,8 @@
 struct call_message {
     attempt_id m_attempt; ///< Chosen by the sender.
     call m_call;          ///< The call.
+    /** Whether the receiver had no memory for the body and dropped it; never sent. */
+    bool m_body_dropped = false;
 };
 
 /** Answers one call_message. */
--- a/src/node/call_task.cpp
+++ b/src/node/call_task.cpp
@@ -113,6 +113,7 @@
     values.m_address = m_settings.m_callers;
     values.m_body_limit = m_settings.m_body_limit;
     values.m_connection_limit = m_settings.m_caller_connections;
+    values.m_budget = m_budget;
     return values;
 }
 
@@ -198,7 +199,10 @@
 {
     const instant now = event_loop::now();
     if (auto* const request = std::get_if<call_message>(&message)) {
-        m_runner.on_call(now, peer, request->m_attempt, std::move(request->m_call), m_runner_actions);
+        const bool fits = m_budget == nullptr || m_budget->has_room(0, use_of(request->m_call.m_body.size()));
+        const rule refusing_rule = request->m_body_dropped || !fits ? rule::out_of_memory : rule::none;
+        m_runner.on_call(now, peer, request->m_attempt, std::move(request->m_call), m_runner_actions,
+                         refusing_rule);
     }
     else if (auto* const response = std::get_if<answer_message>(&message)) {
         m_entry.on_answer(now, response->m_attempt, response->m_answer, m_entry_actions);
--- a/src/node/call_task_base.h
+++ b/src/node/call_task_base.h
@@ -34,6 +34,9 @@
     call_task(event_loop& loop, const node_settings& settings, const request_dialect& dialect,
               incarnation own_incarnation, std::uint64_t seed, metrics& node_metrics, handler on_output);
 
+    /** Counts the bodies of callers' requests by @p budget. @pre Before listen(). */
+    void set_budget(std::shared_ptr<memory_budget> budget) { m_budget = std::move(budget); }
+
     /** Opens the listener for callers. */
     result<void> listen();
 
@@ -83,6 +86,7 @@
     const node_settings& m_settings;
     const request_dialect& m_dialect;
     metrics& m_metrics;
+    std::shared_ptr<memory_budget> m_budget; ///< Null if bodies are not counted.
     handler m_on_output;
     running_calls m_running;
     entry m_entry;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -20,6 +20,11 @@
 constexpr duration reply_margin =
     std::chrono::milliseconds(200); ///< Callers are answered this long before the stop timeout.
 constexpr duration exit_delay = std::chrono::milliseconds(300); ///< Time to send the last messages.
+constexpr std::size_t mebibyte = 1024 * 1024;
+/** Part of the memory that bodies and buffers may take; the rest is for the process itself and the allocator.
+ */
+constexpr std::size_t budget_numerator = 5;
+constexpr std::size_t budget_denominator = 8;
 constexpr std::size_t quarantine_sender_count = 3; ///< Nodes that send a new one the quarantine records.
 constexpr duration overload_interval = std::chrono::seconds(1);
 
@@ -86,6 +91,8 @@
            incarnation own_incarnation, std::uint64_t seed)
     : m_loop(loop), m_settings(std::move(settings)), m_charts(std::move(charts)),
       m_state_machine(m_charts.m_node),
+      m_budget(std::make_shared<memory_budget>(m_settings.m_memory * mebibyte / budget_denominator *
+                                               budget_numerator)),
       m_calls(loop, m_settings, environment.m_dialect, own_incarnation, seed, m_metrics,
               [this](call_output&& output) { on_call_output(std::move(output)); }),
       m_target(loop, environment.m_dialect, m_charts.m_target,
@@ -106,6 +113,9 @@
 
 result<void> node::start()
 {
+    m_calls.set_budget(m_budget);
+    m_peers.set_budget(m_budget);
+    m_target.set_budget(m_budget);
     for (const result<void>& outcome :
          {m_calls.listen(), m_peers.listen(m_settings, m_settings.m_name.m_value.size()),
           m_operators.listen(), m_control.listen()}) {
--- a/src/node/node_base.h
+++ b/src/node/node_base.h
@@ -89,6 +89,7 @@
     node_charts m_charts;
     state_machine m_state_machine;
     metrics m_metrics;
+    std::shared_ptr<memory_budget> m_budget; ///< For the bodies and buffers of all tasks.
     call_task m_calls;
     target_task m_target;
     announcement_task m_announcements;
--- a/src/node/operators_config.cpp
+++ b/src/node/operators_config.cpp
@@ -37,7 +37,7 @@
 /** Parses a request body with the fields of a change; null where it is invalid. */
 json read_change(const http_request& request)
 {
-    json body = json::parse(request.m_body, nullptr, false);
+    json body = json::parse(request.m_body.text(), nullptr, false);
     if (!body.is_object()) {
         return {};
     }
--- a/src/node/operators_task.cpp
+++ b/src/node/operators_task.cpp
@@ -288,7 +288,7 @@
 
 void operators_task::put_target(const http_request& request)
 {
-    const result<target_announcement> parsed = read_announcement(request.m_body);
+    const result<target_announcement> parsed = read_announcement(request.m_body.text());
     if (parsed.has_error()) {
         refuse(request, rule::bad_request, parsed.error().m_text);
         return;
@@ -308,7 +308,7 @@
 
 void operators_task::post_drain(const http_request& request)
 {
-    const json body = json::parse(request.m_body, nullptr, false);
+    const json body = json::parse(request.m_body.text(), nullptr, false);
     const bool undo = body.is_object() && body.value("undo", false);
     log_event(event::operator_change, {{"what", undo ? "drain --undo" : "drain"}, {"who", "operator"}});
     m_tasks.m_target.set_operator_drain(!undo);
@@ -317,7 +317,7 @@
 
 void operators_task::post_release(const http_request& request)
 {
-    const json body = json::parse(request.m_body, nullptr, false);
+    const json body = json::parse(request.m_body.text(), nullptr, false);
     const std::string name = body.is_object() ? body.value("fingerprint", "") : "";
     if (!m_tasks.m_calls.release(name)) {
         refuse(request, rule::not_found, "no request is held under this fingerprint");
--- a/src/node/peer_task.cpp
+++ b/src/node/peer_task.cpp
@@ -26,6 +26,7 @@
     links.m_self = settings.m_name;
     links.m_listen = settings.m_links;
     links.m_shared_key = settings.m_shared_key;
+    links.m_budget = m_budget;
     auto task =
         link_task::open(m_loop, links, seed, [this](link_event&& event) { on_link(std::move(event)); });
     if (task.has_error()) {
--- a/src/node/peer_task_base.h
+++ b/src/node/peer_task_base.h
@@ -23,6 +23,9 @@
     /** @pre @p loop outlives the task. @p on_event receives each link event. */
     peer_task(event_loop& loop, handler on_event);
 
+    /** Counts the messages by @p budget. @pre Before listen(). */
+    void set_budget(std::shared_ptr<memory_budget> budget) { m_budget = std::move(budget); }
+
     /** Opens the listener for links. */
     result<void> listen(const node_settings& settings, std::uint64_t seed);
 
@@ -53,6 +56,7 @@
     void return_waiting(const node_id& name, peer& state);
     void on_timer();
 
+    std::shared_ptr<memory_budget> m_budget; ///< Null if nothing is counted.
     event_loop& m_loop;
     handler m_on_event;
     mailbox<link_event> m_undelivered; ///< Messages that were never passed to a link.
--- a/src/node/settings_func.h
+++ b/src/node/settings_func.h
@@ -31,6 +31,7 @@
     control_mode m_control = control_mode::full;        ///< Other modes are baselines for measurements.
     duration m_stop_timeout = std::chrono::seconds(60); ///< Maximum duration of a planned stop.
     std::string m_charts;                               ///< Folder of the state charts.
+    std::uint32_t m_memory = 256;                       ///< Memory that the process may use, in MiB.
 
     endpoint m_callers;                         ///< Listener for callers.
     endpoint m_links;                           ///< Links of other nodes.
--- a/src/node/table/settings.h
+++ b/src/node/table/settings.h
@@ -36,10 +36,12 @@
 inline constexpr std::uint64_t min_secret_bytes = 16;         ///< Shortest secret, in bytes.
 inline constexpr std::uint64_t max_connections = 100'000;     ///< Also the maximum number of slots.
 inline constexpr std::uint64_t max_body_bytes = 64ULL << 20U; ///< Bytes.
+inline constexpr std::uint64_t min_memory_mib = 32;           ///< MiB; an idle node takes 10.
+inline constexpr std::uint64_t max_memory_mib = 1'048'576;    ///< MiB.
 inline constexpr std::uint64_t hour_ms = 3'600'000;           ///< Milliseconds.
 
 /** All settings. */
-inline constexpr std::array<setting_info, 26> settings_table{{
+inline constexpr std::array<setting_info, 27> settings_table{{
     {"node", "name", true, &node_settings::m_name, 1, max_name_bytes,
      "Name of the node, unique in the fleet"},
     {"node", "region", true, &node_settings::m_region, 1, max_name_bytes, "Region of the node"},
@@ -50,6 +52,8 @@
     {"node", "stop_limit", false, &node_settings::m_stop_timeout, 0, hour_ms,
      "Maximum duration of a planned stop"},
     {"node", "charts", false, &node_settings::m_charts, 1, max_text_bytes, "Folder of the state charts"},
+    {"node", "memory", false, &node_settings::m_memory, min_memory_mib, max_memory_mib,
+     "Memory that the process may use, in MiB; bodies and buffers take at most five eighths of it"},
     {"listen", "callers", true, &node_settings::m_callers, 0, 0, "Address that accepts callers"},
     {"listen", "links", true, &node_settings::m_links, 0, 0, "TCP address for links of other nodes"},
     {"listen", "gossip", true, &node_settings::m_gossip, 0, 0, "UDP address for datagrams of other nodes"},
--- a/src/node/target_task.cpp
+++ b/src/node/target_task.cpp
@@ -171,6 +171,7 @@
     calls.m_connection_limit = connection_limit();
     calls.m_connect_timeout = connect_timeout;
     calls.m_idle_timeout = idle_timeout;
+    calls.m_budget = m_budget;
     m_client =
         http_client::make(m_loop, calls, [this, generation = ++m_generation](http_client_event&& event) {
             on_run_event(generation, std::move(event));
@@ -292,7 +293,7 @@
     const auto* const http_response = std::get_if<http_answer>(&event);
     const auto* const failure = std::get_if<http_failure>(&event);
     if (http_response != nullptr && http_response->m_exchange == m_load_probe) {
-        const nlohmann::json load = nlohmann::json::parse(http_response->m_body, nullptr, false);
+        const nlohmann::json load = nlohmann::json::parse(http_response->m_body.text(), nullptr, false);
         if (load.is_object() && load.contains("slots") && load["slots"].is_number_unsigned()) {
             m_on_output(limit_hinted{load["slots"].get<std::uint32_t>()});
         }
--- a/src/node/target_task_base.h
+++ b/src/node/target_task_base.h
@@ -28,6 +28,9 @@
     target_task(event_loop& loop, const request_dialect& dialect, const chart& target_chart,
                 handler on_output);
 
+    /** Counts the target's answers by @p budget. @pre Before start() and announce(). */
+    void set_budget(std::shared_ptr<memory_budget> budget) { m_budget = std::move(budget); }
+
     /** Announces the target from the settings, if they contain one. */
     void start(const node_settings& settings);
 
@@ -84,6 +87,7 @@
     void on_timer();
     void schedule();
 
+    std::shared_ptr<memory_budget> m_budget; ///< Null if nothing is counted.
     event_loop& m_loop;
     const request_dialect& m_dialect;
     handler m_on_output;
--- a/src/waxwingctl/api_client_base.cpp
+++ b/src/waxwingctl/api_client_base.cpp
@@ -39,11 +39,11 @@
         return fail(not_sent ? error_code::unavailable : error_code::unknown, failure->m_text);
     }
     http_answer& answer = std::get<http_answer>(*m_event);
-    nlohmann::json content = nlohmann::json::parse(answer.m_body, nullptr, false);
+    nlohmann::json content = nlohmann::json::parse(answer.m_body.text(), nullptr, false);
     if (content.is_discarded()) {
         content = nullptr;
     }
-    return api_answer{answer.m_status, std::move(content), std::move(answer.m_body)};
+    return api_answer{answer.m_status, std::move(content), answer.m_body.text()};
 }
 
 void api_client::wait(duration delay)
--- a/src/waxwingd/main.cpp
+++ b/src/waxwingd/main.cpp
@@ -6,6 +6,8 @@
 
 #include <docopt/docopt.h>
 
+#include <malloc.h>
+
 #include <csignal>
 #include <iostream>
 
@@ -15,6 +17,9 @@
 
 constexpr int settings_refused_status = 2;
 constexpr int start_failed_status = 1;
+/** Blocks from this size on are returned to the system when they are freed. Set, since glibc otherwise raises
+ * the threshold to the size of the largest block freed, and then keeps freed bodies. */
+constexpr int mapped_block_bytes = 128 * 1024;
 constexpr duration settings_poll_interval = std::chrono::seconds(5); ///< A read takes about 20 us.
 
 constexpr const char* usage = R"(waxwingd - a waxwinghub node
@@ -165,5 +170,7 @@
         return 0;
     }
     std::signal(SIGPIPE, SIG_IGN);
+    mallopt(M_MMAP_THRESHOLD, mapped_block_bytes);
+    mallopt(M_TRIM_THRESHOLD, mapped_block_bytes);
     return serve(path, settings.value(), std::move(charts).value());
 }
--- a/standin/platform/platform.cpp
+++ b/standin/platform/platform.cpp
@@ -129,7 +129,7 @@
 
 void platform_standin::apply_faults(const http_request& request)
 {
-    const json faults = json::parse(request.m_body);
+    const json faults = json::parse(request.m_body.text());
     m_down = faults.value("down", m_down);
     m_answer_delay = std::chrono::milliseconds(faults.value("slow_ms", to_milliseconds(m_answer_delay)));
     m_lost_answer_ratio = faults.value("lose_answers", m_lost_answer_ratio);
@@ -162,7 +162,7 @@
 
 void platform_standin::answer_commit(const http_request& request)
 {
-    const row_store::commit_result outcome = m_rows.commit(json::parse(request.m_body));
+    const row_store::commit_result outcome = m_rows.commit(json::parse(request.m_body.text()));
     reply_write(request.m_exchange, outcome.m_applied ? 200 : 412, outcome.m_answer);
     answer_waiting_feeds();
 }
--- a/standin/target/target.cpp
+++ b/standin/target/target.cpp
@@ -162,7 +162,7 @@
 
 void target_standin::apply_faults(const http_request& request)
 {
-    const json faults = json::parse(request.m_body, nullptr, false);
+    const json faults = json::parse(request.m_body.text(), nullptr, false);
     if (!faults.is_object()) {
         return;
     }
@@ -260,7 +260,7 @@
               {"path", item.m_request.m_path},
               {"request_id", header_or_empty(item.m_request, "X-Request-Id")},
               {"body_size", item.m_request.m_body.size()},
-              {"body_checksum", checksum(item.m_request.m_body)}};
+              {"body_checksum", checksum(item.m_request.m_body.text())}};
     const std::string answer_bytes = header_or_empty(item.m_request, "X-Answer-Bytes");
     if (!answer_bytes.empty()) {
         body["filler"] = std::string(std::strtoul(answer_bytes.c_str(), nullptr, decimal_base), 'x');
--- a/test/link_test.cpp
+++ b/test/link_test.cpp
@@ -30,9 +30,11 @@
     test_node& beta = fleet.start("beta");
     fleet.link_nodes(alpha, "alpha", beta, "beta");
     call_message request = call_of(7);
+    std::string body;
     for (int count = 0; count < 1024 * 1024; ++count) {
-        request.m_call.m_body.push_back(static_cast<char>(count * 7));
+        body.push_back(static_cast<char>(count * 7));
     }
+    request.m_call.m_body = std::move(body);
     alpha.m_task->send({"beta"}, request);
     fleet.run_until([&] { return beta.count<link_received>() == 1; });
     const link_received call = beta.events<link_received>().front();
