--- a/src/call/entry.cpp
+++ b/src/call/entry.cpp
@@ -175,7 +175,8 @@
         set.m_organisations.empty() ? fields.m_caller : caller_name{new_call.m_organisation.m_value};
     outbound.m_idempotent = kind.m_idempotent;
     outbound.m_idempotency_key = fields.m_key;
-    outbound.m_fingerprint = fingerprint_of(fields.m_host, request.m_method, request.m_path, request.m_body);
+    outbound.m_fingerprint =
+        fingerprint_of(fields.m_host, request.m_method, request.m_path, request.m_body.text());
     answer decision = proceed();
     if (fields.m_parent.has_value() && !new_call.m_has_key) {
         decision = prepare_sub_call(now, *fields.m_parent, new_call);
