Fix: an answer with an impossible status reached the caller

What callers saw: a target in trouble that answered with a status from 600 to 999 had that answer passed on as its own. One with 000 to 099 was taken for an interim answer (1xx): its bytes were skipped, and the next bytes on the connection were taken for the answer.

Cause: the client compared the status with 200 only, and the parser accepts any three digits. The server's side replaced a status outside 100 to 999 by 500 but kept the headers and the body of the answer, the target's signature among them.

Change: an answer outside 100 to 599 ends its exchange as lost and closes its connection, so that the caller gets 502 with an unknown outcome, for root requests and sub-calls alike, as both use this client.

Ruled out: one to four digits, signs and white space in the status were already refused by the parser; they are in the table.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -22,7 +22,9 @@
 constexpr std::size_t unparsed_limit = header_limit;
 /** Most interim answers, and answers to earlier requests, before the answer to a request. */
 constexpr unsigned skipped_limit = 64;
+constexpr unsigned first_interim_status = 100;             ///< Status codes below do not exist.
 constexpr unsigned first_final_status = 200;               ///< Status codes below are interim (1xx).
+constexpr unsigned last_status = 599;                      ///< Status codes above do not exist.
 constexpr std::string_view timeout_parameter = "timeout="; ///< Parameter of the Keep-Alive header.
 
 /** Returns the idle time-out in the value of a Keep-Alive header, if it has one. */
@@ -224,6 +226,11 @@
     const bool ends_at_eof = m_parser->need_eof();
     auto message = m_parser->release();
     m_parser.reset();
+    if (message.result_int() < first_interim_status || message.result_int() > last_status) {
+        close_with_error("the answer has the status " + std::to_string(message.result_int()) +
+                         ", which does not exist");
+        return false;
+    }
     if (message.result_int() < first_final_status) {
         return skip_message();
     }
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -24,9 +24,9 @@
 constexpr std::size_t input_limit = 64 * 1024; ///< Unparsed bytes at which reading stops while parsing does.
 /** Longest wait for the client to close first. */
 constexpr duration linger_timeout = std::chrono::milliseconds(500);
-constexpr unsigned first_status = 100;
-constexpr unsigned last_status = 999;
-constexpr unsigned fallback_status = 500;
+constexpr unsigned first_status = 200; ///< Lowest status of a reply.
+constexpr unsigned last_status = 599;  ///< Highest status of a reply.
+constexpr unsigned bad_gateway_status = 502;
 constexpr unsigned bad_request_status = 400;
 constexpr unsigned header_limit_status = 431;
 constexpr unsigned no_content = 204;
@@ -247,9 +247,12 @@
 
 void server_connection::append_reply(const pending_exchange& exchange)
 {
-    const http_reply& reply = *exchange.m_reply;
-    const bool valid = reply.m_status >= first_status && reply.m_status <= last_status;
-    const unsigned status = valid ? reply.m_status : fallback_status;
+    // The headers and the body of an answer with another status belong to no answer either.
+    const bool valid =
+        exchange.m_reply->m_status >= first_status && exchange.m_reply->m_status <= last_status;
+    const http_reply bad_gateway{exchange.m_id, bad_gateway_status, {}, ""};
+    const http_reply& reply = valid ? *exchange.m_reply : bad_gateway;
+    const unsigned status = reply.m_status;
     const auto reason = beast_http::obsolete_reason(beast_http::int_to_status(status));
     m_output += "HTTP/1.1 " + std::to_string(status) + " ";
     m_output.append(reason.data(), reason.size());
--- a/test/http_wire_test.cpp
+++ b/test/http_wire_test.cpp
@@ -399,6 +399,22 @@
     }
 }
 
+/** A target in trouble answers with the status 000 or another one outside 200 to 599. Its caller must get
+ * neither that nor the bytes behind it as an answer. */
+Test(wire, an_answer_with_an_impossible_status_reached_the_caller)
+{
+    for (const char* status : {"000",  "001",  "042", "099", "600", "601",  "700", "999", "0",   "00",
+                               "1000", "2000", "+20", "-20", "20 ", " 200", "2 0", "",    "2e2", "0x2"}) {
+        guarded_loop guarded;
+        raw_server server(guarded.m_loop,
+                          {"HTTP/1.1 " + std::string(status) +
+                           " Odd\r\nId: 1\r\nContent-Length: 4\r\n\r\noddsHTTP/1.1 200 OK\r\nId: 1\r\n"
+                           "Content-Length: 5\r\n\r\nwhole!"});
+        const auto events = exchange(server, guarded, 1);
+        cr_expect(is_lost(events[0]), "status \"%s\"", status);
+    }
+}
+
 Test(wire, a_new_connection_replaces_an_idle_one_at_the_limit)
 {
     guarded_loop guarded;
