--- a/src/policy/quota.cpp
+++ b/src/policy/quota.cpp
@@ -135,6 +135,9 @@
     if (was_frozen || (m_may_grant && !might_grant)) {
         reset_shards(now + takeover_delay);
     }
+    if (was_frozen) {
+        m_members.restart_dead(now);
+    }
     m_ticked_at = now;
     for (const node_id& node : m_members.remove_dead(now)) {
         remove_node(now, node);
--- a/src/policy/quota_members.cpp
+++ b/src/policy/quota_members.cpp
@@ -60,6 +60,15 @@
     return removed;
 }
 
+void quota_members::restart_dead(boot_instant now)
+{
+    for (auto& [node, died_at] : m_members) {
+        if (died_at.has_value()) {
+            died_at = now;
+        }
+    }
+}
+
 bool quota_members::may_grant(boot_instant now) const
 {
     return !m_minority_since.has_value() || now - *m_minority_since < minority_duration;
@@ -83,10 +92,11 @@
 
 void quota_members::update_majority(boot_instant now)
 {
-    if (has_majority()) {
+    if (has_majority() && m_minority_since.has_value()) {
         m_minority_since.reset();
+        restart_dead(now);
     }
-    else if (!m_minority_since.has_value()) {
+    else if (!has_majority() && !m_minority_since.has_value()) {
         m_minority_since = now;
     }
 }
--- a/src/policy/quota_members_base.h
+++ b/src/policy/quota_members_base.h
@@ -11,9 +11,9 @@
 namespace waxwing {
 
 /**
- * The counting members: all that have not left. A dead one stops counting after dead_duration, if more than
- * half of the counting members are alive. The node itself is always one, and alive. Thread safety: none; one
- * owner.
+ * The counting members: all that have not left. A dead one stops counting after dead_duration in which more
+ * than half of the counting members were alive. The node itself is always one, and alive. Thread safety:
+ * none; one owner.
  */
 class quota_members {
 public:
@@ -42,6 +42,10 @@
      */
     void set_isolated(boot_instant now, bool is_isolated);
 
+    /** Counts the time of all dead members anew. What this node knows of them may be old if it was cut off or
+     * did not run: they may have been alive for the others meanwhile, for which they still count. */
+    void restart_dead(boot_instant now);
+
     /** Returns whether an owner may grant, as more than half of the counting members are alive or were so
      * recently. */
     bool may_grant(boot_instant now) const;
