Fix: buffers that were assigned an empty string kept their memory

Cause: libstdc++ keeps the buffer of a string to which a short string is assigned or moved. So the blocks of a body stayed allocated while it was assembled, and the read buffer of a connection and the head of a sent message stayed until the object ended. A single body of 64 MiB took the entry node to 139 MiB. Change: swap with an empty string instead.

Not run: the other suites of ctest, the soak, the sanitizer build, and a build on arm64.

--- a/src/http/body_buffer_base.h
+++ b/src/http/body_buffer_base.h
@@ -51,7 +51,7 @@
             body.reserve(m_size);
             for (std::string& block : m_blocks) {
                 body += block;
-                block = std::string();
+                std::string().swap(block); // An assignment would keep the buffer.
             }
         }
         m_blocks.clear();
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -150,7 +150,7 @@
     m_input.append(buffer.data(), static_cast<std::size_t>(count));
     parse(count == 0);
     if (m_input.empty()) {
-        m_input = std::string();
+        std::string().swap(m_input);
     }
     update_held();
 }
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -220,7 +220,7 @@
 void server_connection::refuse(unsigned status)
 {
     m_parser.reset();
-    m_input = std::string();
+    std::string().swap(m_input);
     m_lease.resize(0);
     m_last_received = true;
     const exchange_id id = m_context.m_begin_exchange(*this);
@@ -331,7 +331,7 @@
     }
     m_pending.clear();
     m_parser.reset();
-    m_input = std::string();
+    std::string().swap(m_input);
     m_output.clear();
     m_lease.resize(0);
     update_sending();
--- a/src/http/server_connection_memory.cpp
+++ b/src/http/server_connection_memory.cpp
@@ -39,7 +39,7 @@
 void server_connection::update_lease()
 {
     if (m_input.empty()) {
-        m_input = std::string(); // Frees the buffer: there may be thousands of connections.
+        std::string().swap(m_input); // Frees the buffer: there may be thousands of connections.
     }
     const bool has_body = m_parser && m_parser->is_header_done();
     m_lease.resize(m_input.size() + (has_body ? m_parser->get().body().size() : 0));
--- a/src/link/chunk_sender.cpp
+++ b/src/link/chunk_sender.cpp
@@ -267,7 +267,7 @@
         --m_open_stream_count;
         m_open_stream_bytes -= entry.encoded_size();
     }
-    entry.m_head = {};
+    std::string().swap(entry.m_head);
     entry.m_body = {};
     release_blocked_cancels(entry);
     if (!entry.m_message) {
--- a/test/memory_budget_test.cpp
+++ b/test/memory_budget_test.cpp
@@ -31,7 +31,7 @@
         }
     }
     cr_assert_fail("the message was not complete");
-    return message;
+    return {};
 }
 
 } // namespace
