Fix: a third of all requests outranked others where all organisations are equal

Cause: the guard against starvation ranked one request in three of an organisation as if its priority were 0, also where no organisation has that priority. Unimportant kinds then went before important ones of the same organisations.

Change: promoted requests rank with the highest priority that any organisation has.

--- a/src/call/call_action_type.h
+++ b/src/call/call_action_type.h
@@ -36,16 +36,16 @@
 
 /** Answers the caller. */
 struct entry_reply {
-    exchange_id m_exchange;           ///< The caller's exchange.
-    kind_name m_kind;                 ///< Request kind; empty if none matched.
-    answer m_answer;                  ///< Answer to send.
-    duration m_took{};                ///< Time since the request arrived.
-    bool m_root = false;              ///< Whether an outside caller sent the request.
-    std::string m_request_id;         ///< Request id; empty if there is none.
-    service_name m_service;           ///< Called service.
-    node_id m_node;                   ///< Node of the last attempt; empty if nothing was sent.
-    unsigned m_attempts = 0;          ///< Number of attempts sent.
-    std::uint8_t m_depth = 0;         ///< Depth in the call graph; 0 for the call of an outside caller.
+    exchange_id m_exchange;             ///< The caller's exchange.
+    kind_name m_kind;                   ///< Request kind; empty if none matched.
+    answer m_answer;                    ///< Answer to send.
+    duration m_took{};                  ///< Time since the request arrived.
+    bool m_root = false;                ///< Whether an outside caller sent the request.
+    std::string m_request_id;           ///< Request id; empty if there is none.
+    service_name m_service;             ///< Called service.
+    node_id m_node;                     ///< Node of the last attempt; empty if nothing was sent.
+    unsigned m_attempts = 0;            ///< Number of attempts sent.
+    std::uint8_t m_depth = 0;           ///< Depth in the call graph; 0 for the call of an outside caller.
     organisation_name m_organisation{}; ///< Whose key the request carried; empty if there was none.
 };
 
--- a/src/call/entry_base.h
+++ b/src/call/entry_base.h
@@ -192,7 +192,7 @@
     void refuse(instant now, const entry_request& request, bool root, const open_call& new_call,
                 answer response, std::vector<entry_action>& actions);
     static bool is_root(const request_fields& fields, const open_call& new_call);
-    static std::uint8_t importance_of(const open_call& current);
+    std::uint8_t importance_of(const open_call& current) const;
     void set_headers(const header_list& received, open_call& new_call) const;
     answer prepare(instant now, const entry_request& request, const request_fields& fields,
                    open_call& new_call);
--- a/src/call/entry_organisation.cpp
+++ b/src/call/entry_organisation.cpp
@@ -109,7 +109,7 @@
 
 /** Returns the importance of the root request @p current, whose root id is set. With organisations in force,
  * a request without a key ranks as one of an organisation of the default priority. */
-std::uint8_t entry::importance_of(const open_call& current)
+std::uint8_t entry::importance_of(const open_call& current) const
 {
     const std::uint8_t kind_importance = current.m_kind->m_importance;
     const auto& organisations = current.m_config->m_organisations;
@@ -120,7 +120,8 @@
     const std::uint8_t priority =
         found == organisations.end() ? organisation_object{}.m_priority : found->second.m_priority;
     const bool promoted = is_promoted(current.m_call.m_context.m_root);
-    return organisation_importance(promoted ? std::uint8_t{0} : priority, kind_importance);
+    return organisation_importance(promoted ? m_organisations->highest_priority() : priority,
+                                   kind_importance);
 }
 
 /** Sets the headers that the target of @p new_call gets, from those @p received. The key never leaves the
--- a/src/call/organisation_func.h
+++ b/src/call/organisation_func.h
@@ -42,8 +42,8 @@
  * have a reserve. */
 std::uint8_t headroom_importance(const config_set& set, std::uint8_t kind_importance);
 
-/** Returns whether a request with the root id @p root ranks as if its organisation had priority 0. One
- * request in three does, so that no organisation is starved by others of higher priority. */
+/** Returns whether a request with the root id @p root ranks as if its organisation had the highest priority
+ * of all that are configured. One request in three does, so that no organisation is starved by others. */
 constexpr bool is_promoted(root_id root)
 {
     return root.m_value % 3 == 0;
--- a/src/config/organisation_index.cpp
+++ b/src/config/organisation_index.cpp
@@ -3,6 +3,8 @@
 
 #include "config/config_func.h"
 
+#include <algorithm>
+
 namespace waxwing {
 
 std::string key_hash(std::string_view salt, std::string_view key)
@@ -18,6 +20,7 @@
 organisation_index::organisation_index(std::shared_ptr<const config_set> set) : m_set(std::move(set))
 {
     for (const auto& [name, organisation] : m_set->m_organisations) {
+        m_highest_priority = std::min(m_highest_priority, organisation.m_priority);
         for (const std::string& hash : organisation.m_keys) {
             m_holders.emplace(hash, &organisation);
         }
--- a/src/config/organisation_index_base.h
+++ b/src/config/organisation_index_base.h
@@ -28,12 +28,16 @@
     /** Returns whether the configuration has no organisation, so that requests need no key. */
     bool empty() const { return m_set->m_organisations.empty(); }
 
+    /** Returns the highest priority of an organisation: the least number. @pre not empty(). */
+    std::uint8_t highest_priority() const { return m_highest_priority; }
+
     /** Returns the organisation that holds @p key, or null if none does; valid as long as the index. Keys are
      * compared by their hashes, so that the time of a look-up reveals nothing about a key. */
     const organisation_object* find(std::string_view key) const;
 
 private:
     std::shared_ptr<const config_set> m_set;
+    std::uint8_t m_highest_priority = 255;
     std::unordered_map<std::string_view, const organisation_object*> m_holders; ///< By hash of a key.
 };
 
--- a/test/organisation_test.cpp
+++ b/test/organisation_test.cpp
@@ -296,6 +296,19 @@
     cr_expect(promoted > 900 && promoted < 1100, "%d of 3000", promoted);
 }
 
+/** Where all organisations had one low priority, a third of their requests outranked more important kinds. */
+Test(entry_organisation, nothing_is_promoted_where_all_priorities_are_equal)
+{
+    const auto equal = configuration();
+    equal->m_organisations.erase(organisation_name{"gold"});
+    organisation_fixture fixture;
+    fixture.m_entry.configure(equal);
+    for (int count = 0; count < 100; ++count) {
+        const call sent = std::get<entry_send>(fixture.send("/plain/", with_key("tin-key"))).m_call;
+        cr_assert(sent.m_context.m_priority.importance() == 42);
+    }
+}
+
 /** A node that lost touch with the configuration would otherwise accept withdrawn keys. */
 Test(entry_organisation, keys_need_a_recent_confirmation_where_the_deployment_fails_closed)
 {
