--- a/test/fleet_model.h
+++ b/test/fleet_model.h
@@ -460,7 +460,7 @@
     }
 
     void carry_out(std::size_t, const entry_reply& reply) { on_reply(reply); }
-    void carry_out(std::size_t, const entry_take_token&) {}   // No organisation has a limit here.
+    void carry_out(std::size_t, const entry_take_token&) {} // No organisation has a limit here.
     void carry_out(std::size_t, const entry_return_token&) {}
 
     void carry_out(std::size_t index, const runner_answer& action)
