--- a/src/node/node_base.h
+++ b/src/node/node_base.h
@@ -67,6 +67,8 @@
     void stop();
 
 private:
+    static constexpr duration overload_interval = std::chrono::seconds(1); ///< Between checks for overload.
+
     void on_call_output(call_output&& output);
     void on_target_output(target_output&& output);
     void on_control_output(control_output&& output);
