Fix: removal of a member could corrupt the list of members

Found by a test of membership at its capacity that crashed when the interval between discoveries was changed; the address sanitizer showed a write to a freed member. Callers would have seen the process of a node end, or a node that no longer probes a member.

Cause: remove_reachable moves the last probed member into the gap and the last member into the gap behind it. After a whole probe round both are the same one, whose position was then set to an index behind the list. Its own removal before its next probe wrote there and took another member out of the list. Ruled out: the changed interval, a double removal (one trace, one removal).

Change: the second move is left out if the gap is the last place.

--- a/src/member/member_table.cpp
+++ b/src/member/member_table.cpp
@@ -148,8 +148,10 @@
         m_reachable[position]->m_position = position;
         position = m_probed_count;
     }
-    m_reachable[position] = m_reachable.back();
-    m_reachable[position]->m_position = position;
+    if (position + 1 < m_reachable.size()) {
+        m_reachable[position] = m_reachable.back();
+        m_reachable[position]->m_position = position;
+    }
     m_reachable.pop_back();
 }
 
