Fix: nodes that joined while the store turned them away granted a whole quota each

Cause: a node without peers was ready, and granted all shards, from 3 s after the start of its process on, whether or not it had been able to read the member rows; after a failure it read them again only 5 s later. Ruled out: shards given up late by the others, which knew nothing of the new nodes, and tokens counted twice over a move.

Change: a node without peers grants only from 3 s after it has read all rows with its own one among them, and is ready only once another member has contacted it or 3 s after the rows were read.

--- a/src/events/event_type.h
+++ b/src/events/event_type.h
@@ -35,6 +35,7 @@
     departure_held,
     member_changed,
     isolated,
+    fleet_joined,
     config_in_force,
     config_refused,
     watch_changed,
--- a/src/events/table/events.h
+++ b/src/events/table/events.h
@@ -83,6 +83,8 @@
     {401, severity::warning, "isolated", "unreachable known",
      "At least half of the known nodes became unreachable at once: this node or its data centre is "
      "isolated."},
+    {402, severity::info, "fleet-joined", "members",
+     "This node has found the other nodes after its start, or that there is none; it may serve callers."},
     {500, severity::info, "config-in-force", "revision digest",
      "A new revision of the configuration is in force."},
     {501, severity::error, "config-refused", "revision reason",
--- a/src/member/membership.cpp
+++ b/src/member/membership.cpp
@@ -37,6 +37,7 @@
     if (m_state->m_self.m_state == member_state::left && message.m_kind != gossip_kind::ping) {
         return;
     }
+    m_state->m_was_contacted |= message.m_from && message.m_from->m_node != m_state->m_self.m_node;
     const bool changed = m_state->merge_items(active_now, message, actions);
     switch (message.m_kind) {
     case gossip_kind::ping:
@@ -72,6 +73,8 @@
                                 std::vector<member_action>& actions)
 {
     const instant active_now = m_state->observe(now, actions);
+    m_state->m_listed_at = m_state->m_listed_at.value_or(active_now);
+    m_state->m_is_discoverable |= m_state->m_is_discovery_complete;
     for (const auto& [key, value] : rows) {
         const result<member_record> decoded = decode_row(value);
         if (decoded.has_error() || key != "member/" + decoded.value().m_node.m_value) {
@@ -90,8 +93,26 @@
 void membership::on_registered(instant now, bool is_written)
 {
     const duration interval =
-        is_written ? m_state->m_settings.m_register_interval : m_state->m_settings.m_register_retry_interval;
+        is_written ? m_state->m_settings.m_register_interval : m_state->retry_interval();
     m_state->m_next_register = now - m_state->m_paused + m_state->jittered(interval);
+    m_state->m_is_registered |= is_written;
+}
+
+void membership::on_table_available(instant now)
+{
+    const instant active_now = now - m_state->m_paused;
+    if (!m_state->m_is_registered) {
+        m_state->m_next_register = active_now;
+    }
+    if (!m_state->m_listed_at) {
+        m_state->m_next_discover = active_now;
+    }
+}
+
+void membership::on_discovery_failed(instant now)
+{
+    const instant retry_at = now - m_state->m_paused + m_state->jittered(m_state->retry_interval());
+    m_state->m_next_discover = std::min(m_state->m_next_discover, retry_at);
 }
 
 void membership::on_table_restored(instant now)
@@ -170,6 +191,19 @@
     return m_state->m_table.list();
 }
 
+bool membership::has_joined(instant now) const
+{
+    const state& self = *m_state;
+    const bool is_timed_out =
+        self.m_listed_at && now - self.m_paused - *self.m_listed_at >= self.m_settings.m_join_timeout;
+    return self.m_was_contacted || is_timed_out;
+}
+
+bool membership::is_discoverable() const
+{
+    return m_state->m_is_discoverable;
+}
+
 bool membership::likely_isolated(instant now) const
 {
     static_cast<void>(now);
--- a/src/member/membership_base.h
+++ b/src/member/membership_base.h
@@ -26,6 +26,7 @@
     unsigned m_discover_readers = 4;      ///< Mean number of nodes that read all rows in each interval.
     unsigned m_indirect_probes = 3;       ///< Members asked to probe on behalf of this node.
     std::size_t m_member_capacity = 4096; ///< Maximum number of known members.
+    duration m_join_timeout = std::chrono::seconds(3); ///< Wait for other members once the rows are read.
 };
 
 /**
@@ -50,8 +51,14 @@
     /** Writes the own row again soon, as the platform has restored the table from an older copy. */
     void on_table_restored(instant now);
 
+    /** Records that the platform's table responds again after a failure. */
+    void on_table_available(instant now);
+
+    /** Records that the registration rows could not be read. */
+    void on_discovery_failed(instant now);
+
     /** Merges registration rows (key, value) of the platform's table, and deletes those of members that have
-     * been dead for long. */
+     * been dead for long. @pre @p rows are all rows. */
     void add_registered(instant now, const std::vector<std::pair<std::string, std::string>>& rows,
                         std::vector<member_action>& actions);
 
@@ -80,6 +87,15 @@
     /** Returns the records of all other members, including dead ones. */
     std::vector<member_record> members() const;
 
+    /** Returns whether this node has found the fleet since its start: another member has contacted it or, for
+     * join_timeout after all rows were read, none that they name has answered. Before that, what it knows
+     * says nothing about the other nodes. */
+    bool has_joined(instant now) const;
+
+    /** Returns whether all rows have been read since the own one was written: any other node that has read
+     * them since then knows this one, and one that had not has a row that this node has read. */
+    bool is_discoverable() const;
+
     /** Returns whether this node is probably cut off: at least half of the alive members became suspect
      * within seconds, or most of the last probes failed. Stays true until most known members are alive again.
      */
--- a/src/member/membership_state.h
+++ b/src/member/membership_state.h
@@ -7,6 +7,7 @@
 #include "member/membership_base.h"
 
 #include <deque>
+#include <optional>
 
 namespace waxwing {
 
@@ -79,7 +80,12 @@
     instant m_leave_at = instant::max();  ///< When to repeat the leave message.
     unsigned m_leave_repeats = 0;
     instant m_last_pull_at{};
-    bool m_pull_had_updates = false; ///< Whether the last pull returned new information.
+    bool m_is_registered = false;         ///< Whether the own row was written since the start.
+    bool m_is_discovery_complete = false; ///< Whether the last discovery began after that.
+    bool m_is_discoverable = false;       ///< Whether such a discovery has succeeded.
+    bool m_was_contacted = false;         ///< Whether another member has sent a message since the start.
+    std::optional<instant> m_listed_at;   ///< When all rows were read for the first time.
+    bool m_pull_had_updates = false;      ///< Whether the last pull returned new information.
     /** Since when all received digests have differed from the local one. */
     instant m_differs_since = instant::max();
 
@@ -109,6 +115,7 @@
     duration jittered(duration interval);
     void register_row(instant active_now, actions& out);
     void register_soon(instant active_now);
+    duration retry_interval() const;
     void discover(instant active_now, actions& out);
     void expire_removals(instant active_now);
     void repeat_leave(instant active_now, actions& out);
--- a/src/member/membership_timer.cpp
+++ b/src/member/membership_timer.cpp
@@ -11,6 +11,10 @@
 constexpr duration pause_threshold = std::chrono::milliseconds(500);
 /** Used while no member is reachable. */
 constexpr duration no_peers_discover_interval = std::chrono::seconds(5);
+/** Used until this node has found others, or has found itself to be alone: it serves no callers yet. */
+constexpr duration joining_interval = std::chrono::seconds(1);
+/** Time from the first discovery for which a node without peers repeats it often. */
+constexpr duration joining_duration = std::chrono::seconds(10);
 constexpr duration dead_probe_interval = std::chrono::seconds(10);
 
 } // namespace
@@ -114,6 +118,13 @@
     m_next_register = std::min(m_next_register, active_now + jittered(m_settings.m_register_retry_interval));
 }
 
+/** Returns the delay after a failed call to the platform's table. */
+duration membership::state::retry_interval() const
+{
+    const bool is_joining = m_table.reachable() == 0 && !m_is_discoverable;
+    return is_joining ? joining_interval : m_settings.m_register_retry_interval;
+}
+
 void membership::state::register_row(instant active_now, actions& out)
 {
     m_next_register = active_now + jittered(m_settings.m_register_retry_interval);
@@ -125,10 +136,14 @@
 void membership::state::discover(instant active_now, actions& out)
 {
     const bool no_peers = m_table.reachable() == 0;
-    const duration interval = no_peers ? std::min(no_peers_discover_interval, m_settings.m_discover_interval)
-                                       : m_settings.m_discover_interval;
+    const bool is_joining = no_peers && (!m_listed_at || active_now - *m_listed_at < joining_duration);
+    duration interval = m_settings.m_discover_interval;
+    if (no_peers) {
+        interval = std::min(interval, is_joining ? joining_interval : no_peers_discover_interval);
+    }
     m_next_discover = active_now + jittered(interval);
     if (no_peers || m_random() % (m_table.reachable() + 1) < m_settings.m_discover_readers) {
+        m_is_discovery_complete = m_is_registered;
         out.emplace_back(member_discover{"member/"});
     }
 }
--- a/src/node/call_task.cpp
+++ b/src/node/call_task.cpp
@@ -192,6 +192,7 @@
                    [&](quota_member_changed& message) {
                        m_quota.on_member(event_loop::boot_now(), message.m_node, message.m_presence);
                    },
+                   [&](quota_fleet_discovered&) { m_quota.on_fleet_discovered(event_loop::boot_now()); },
                    [&](isolation_changed& message) {
                        m_quota.on_isolation(event_loop::boot_now(), message.m_isolated);
                    },
--- a/src/node/control_task.cpp
+++ b/src/node/control_task.cpp
@@ -107,11 +107,24 @@
     m_processing_actions = false;
     log_unreadable_revision();
     update_watch();
+    report_progress();
     const instant next =
         std::min({m_members.next_tick(), m_spread.next_tick(), m_watch_election.next_update()});
     m_timer.set(next - event_loop::now());
 }
 
+/** Reports once that this node has found the fleet, and that others can find it. */
+void control_task::report_progress()
+{
+    const bool has_joined = m_members.has_joined(event_loop::now());
+    if (has_joined && !std::exchange(m_has_joined, true)) {
+        log_event(event::fleet_joined, {{"members", std::to_string(m_members.members().size())}});
+    }
+    if (m_members.is_discoverable() && !std::exchange(m_is_discoverable, true)) {
+        m_on_output(fleet_discovered{});
+    }
+}
+
 /** Starts or stops watching the head row, as the election decides. */
 void control_task::update_watch()
 {
@@ -265,8 +278,10 @@
 {
     m_storage.list(prefix, after, page_size,
                    [this, prefix, found = std::move(found)](const result<table_page>& page) mutable {
+                       on_platform_result(page.has_value(), page.has_error() ? page.error().m_text : "");
                        if (page.has_error()) {
-                           on_platform_result(false, page.error().m_text);
+                           m_members.on_discovery_failed(event_loop::now());
+                           process_actions();
                            return;
                        }
                        for (const table_row& row : page.value().m_rows) {
@@ -293,6 +308,7 @@
         const std::int64_t outage = to_milliseconds(now - *m_platform_failing_since);
         m_platform_failing_since.reset();
         log_event(event::platform_recovered, {{"outage_ms", std::to_string(outage)}});
+        m_members.on_table_available(now);
     }
 }
 
--- a/src/node/control_task_base.h
+++ b/src/node/control_task_base.h
@@ -49,6 +49,9 @@
     /** Returns the members of the fleet as this node knows them. */
     const membership& members() const { return m_members; }
 
+    /** Returns whether this node has found the fleet since its start. */
+    bool has_joined() const { return m_has_joined; }
+
     /** Returns the revision in force and its set; the set is null while no revision is in force. */
     const revision_in_force& in_force() const { return m_in_force; }
 
@@ -76,6 +79,7 @@
     void log_unreadable_revision();
     void on_timer();
     void update_watch();
+    void report_progress();
     void on_platform_result(bool is_working, const std::string& reason);
 
     event_loop& m_loop;
@@ -93,6 +97,8 @@
     std::unique_ptr<datagram_task> m_datagrams;
     std::optional<instant> m_platform_failing_since;
     bool m_processing_actions = false;
+    bool m_has_joined = false;      ///< Whether this node has found the fleet.
+    bool m_is_discoverable = false; ///< Whether other nodes can find this one.
     revision m_unreadable; ///< The last revision reported as unreadable, so that each is logged once.
     timer m_timer;
 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-constexpr duration peer_discovery_timeout =
-    std::chrono::seconds(3); ///< A node that finds no peers accepts callers after this.
 constexpr std::size_t mebibyte = 1024 * 1024;
 /** Part of the memory that bodies and buffers may take; the rest is for the process itself and the allocator.
  */
@@ -128,7 +126,6 @@
             return outcome.error();
         }
     }
-    m_started_at = event_loop::now();
     m_target.start(m_settings);
     m_announcements.start();
     m_overload_timer.set(overload_interval);
@@ -192,6 +189,7 @@
                        m_departure_keeper.on_table_restored();
                    },
                    [&](calls_confirm& confirmed) { m_calls.post(confirmed); },
+                   [&](fleet_discovered&) { m_calls.post(quota_fleet_discovered{}); },
                },
                output);
 }
@@ -386,9 +384,8 @@
         const bool starting = m_state_machine.state() == "starting" || m_state_machine.state() == "joining";
         return {false, starting ? "no configuration is in force" : "the node is stopping"};
     }
-    const bool has_no_peers = m_control.members().members().empty();
-    if (has_no_peers && event_loop::now() - m_started_at < peer_discovery_timeout) {
-        return {false, "no other node is known yet"};
+    if (!m_control.has_joined()) {
+        return {false, "the fleet is not known yet"};
     }
     return {true, "callers are served"};
 }
--- a/src/node/node_base.h
+++ b/src/node/node_base.h
@@ -109,7 +109,6 @@
     std::unordered_map<node_id, incarnation> m_incarnations; ///< Last known incarnation of each member.
     target_changed m_own_target;
     instant m_stop_began_at{};
-    instant m_started_at{};
     bool m_isolated = false; ///< As the call task knows it.
     std::optional<instant> m_overload_since;
     timer m_drain_timer;
--- a/src/node/task_message_type.h
+++ b/src/node/task_message_type.h
@@ -93,16 +93,20 @@
     quota_presence m_presence = quota_presence::dead; ///< Its state.
 };
 
+/** To the call task: this node would know another one if there was any. */
+struct quota_fleet_discovered {};
+
 /** To the call task: whether this node is probably cut off from most others. */
 struct isolation_changed {
     bool m_isolated = false; ///< Whether it is.
 };
 
 /** Commands to the call task. */
-using call_command = std::variant<calls_configure, calls_put_target, calls_remove_target, calls_set_target,
-                                  calls_gate, run_answered, run_failed, probe_ended, limit_hinted,
-                                  target_rate_limited, quarantine_received, quota_received,
-                                  quota_member_changed, isolation_changed, calls_confirm, link_event>;
+using call_command =
+    std::variant<calls_configure, calls_put_target, calls_remove_target, calls_set_target, calls_gate,
+                 run_answered, run_failed, probe_ended, limit_hinted, target_rate_limited,
+                 quarantine_received, quota_received, quota_member_changed, quota_fleet_discovered,
+                 isolation_changed, calls_confirm, link_event>;
 
 /** From the call task: send a message to another node. */
 struct peer_send {
@@ -145,9 +149,12 @@
 /** From the control task: the platform has restored its table from an older copy. */
 struct table_restored {};
 
+/** From the control task: the platform's table shows all nodes that could find this one, and this one. */
+struct fleet_discovered {};
+
 /** Output of the control task to the node. */
 using control_output =
-    std::variant<peer_changed, revision_in_force, peer_send, table_restored, calls_confirm>;
+    std::variant<peer_changed, revision_in_force, peer_send, table_restored, calls_confirm, fleet_discovered>;
 
 /** Combines several function objects into one visitor. */
 template<class... Functions>
--- a/src/policy/quota.cpp
+++ b/src/policy/quota.cpp
@@ -151,7 +151,8 @@
 bool quota::may_grant(boot_instant now) const
 {
     const bool is_alone = m_members.size() == 1;
-    return m_members.may_grant(now) && (!is_alone || now - m_started_at >= lone_start_delay);
+    const bool knows_fleet = m_discovered_at && now - *m_discovered_at >= lone_start_delay;
+    return m_members.may_grant(now) && (!is_alone || knows_fleet);
 }
 
 quota_decision quota::take(boot_instant now, const organisation_name& organisation, std::uint64_t waiter)
--- a/src/policy/quota_base.h
+++ b/src/policy/quota_base.h
@@ -8,6 +8,7 @@
 #include "policy/quota_shard_base.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <unordered_map>
 
@@ -45,8 +46,8 @@
     /** An owner grants nothing for this long after the start of its process. */
     static constexpr duration start_delay = std::chrono::seconds(1);
 
-    /** The same for a node that knows no other one: it may not have found the fleet yet, and would own all
-     * shards in its own view. */
+    /** The same for a node that knows no other one, from on_fleet_discovered on: it would own all shards in
+     * its own view. */
     static constexpr duration lone_start_delay = std::chrono::seconds(3);
 
     /** An owner grants nothing for this long after it took over a shard while running. */
@@ -64,6 +65,10 @@
     /** Records a change of another node. */
     void on_member(boot_instant now, const node_id& node, quota_presence presence);
 
+    /** Records that this node would know another one if there was any. Before that, a node that knows no
+     * other one grants nothing: it may not have found the fleet yet. */
+    void on_fleet_discovered(boot_instant now) { m_discovered_at = m_discovered_at.value_or(now); }
+
     /** Records whether this node is probably cut off from most others. */
     void on_isolation(boot_instant now, bool is_isolated);
 
@@ -135,6 +140,7 @@
     incarnation m_incarnation;
     boot_instant m_started_at;
     boot_instant m_ticked_at;
+    std::optional<boot_instant> m_discovered_at; ///< When this node had found all others.
     quota_members m_members;
     bool m_may_grant = true;
     std::unordered_map<organisation_name, organisation_state> m_organisations;
--- a/test/member_network.h
+++ b/test/member_network.h
@@ -236,6 +236,7 @@
     {
         ++m_table_calls;
         if (!m_nodes[index].m_table_reachable) {
+            m_nodes[index].m_membership->on_discovery_failed(m_now);
             return;
         }
         std::vector<member_action> actions;
--- a/test/member_test.cpp
+++ b/test/member_test.cpp
@@ -357,6 +357,69 @@
     }
 }
 
+/** review/6: a node that the table turned away read the rows only 5 s after it was served again, and took
+ * itself for the whole fleet meanwhile. */
+Test(member, node_that_the_table_turned_away_found_the_fleet_late)
+{
+    member_network network(21);
+    for (int index = 0; index < 8; ++index) {
+        network.start("node-" + std::to_string(index), 1);
+    }
+    network.run(20s);
+    const std::size_t joining = network.start("node-8", 1);
+    const membership& joined = *network.nodes()[joining].m_membership;
+    network.nodes()[joining].m_table_reachable = false;
+    network.run(20s);
+    cr_assert(!joined.has_joined(network.now()) && !joined.is_discoverable() && joined.members().empty());
+    network.nodes()[joining].m_table_reachable = true;
+    network.run(1500ms);
+    cr_assert(joined.has_joined(network.now()) && joined.members().size() == 8);
+    network.run(5s);
+    cr_assert(joined.is_discoverable() && converged(network));
+}
+
+/** All processes are killed while the table is out of service, with rows of a former fleet or without any. */
+Test(member, fleet_that_restarts_while_the_table_is_out_of_service_finds_itself_soon_after)
+{
+    for (const bool has_rows : {true, false}) {
+        member_network network(22);
+        for (int index = 0; index < 12; ++index) {
+            network.start("node-" + std::to_string(index), 1);
+        }
+        network.run(20s);
+        for (std::size_t index = 0; index < 12; ++index) {
+            network.kill(index);
+            network.nodes()[index].m_table_reachable = false;
+            network.start_at(index, "node-" + std::to_string(index), 2);
+        }
+        if (!has_rows) {
+            network.rows().clear();
+        }
+        network.run(30s);
+        for (std::size_t index = 0; index < 12; ++index) {
+            cr_assert(!network.nodes()[index].m_membership->has_joined(network.now()));
+            network.nodes()[index].m_table_reachable = true;
+        }
+        network.run(3s);
+        for (const network_node& node : network.nodes()) {
+            cr_assert(node.m_membership->has_joined(network.now()));
+            cr_assert(node.m_membership->members().size() == 11);
+        }
+    }
+}
+
+/** A node without any other one must serve too. */
+Test(member, node_that_is_alone_has_joined_after_the_join_timeout)
+{
+    member_network network(23);
+    network.start("node-0", 1);
+    const membership& alone = *network.nodes()[0].m_membership;
+    network.run(2s);
+    cr_assert(!alone.has_joined(network.now()) && alone.is_discoverable());
+    network.run(1500ms);
+    cr_assert(alone.has_joined(network.now()));
+}
+
 Test(member, capacity_is_bounded_and_dead_members_are_evicted_first)
 {
     member_settings settings;
--- a/test/quota_model.h
+++ b/test/quota_model.h
@@ -219,6 +219,7 @@
     {
         host& target = m_hosts[index];
         target.m_quota.emplace(name(index), incarnation{++target.m_incarnation}, clock(target));
+        target.m_quota->on_fleet_discovered(clock(target));
     }
 
     void visit(std::size_t index, const visitor& work)
--- a/test/quota_test.cpp
+++ b/test/quota_test.cpp
@@ -180,6 +180,27 @@
     cr_assert(account.tokens(start + 410ms) == 2 && account.tokens(start + 550ms) == 0);
 }
 
+/** review/6: nodes that the table turned away each granted the whole quota, as if they were the fleet. */
+Test(quota, node_that_has_not_found_the_fleet_granted_the_whole_quota)
+{
+    quota state(node_id{"a"}, incarnation{1}, start);
+    std::vector<quota_action> actions;
+    state.configure(start, {{acme, {40.0, 40.0}}}, actions);
+    const auto granted = [&](boot_instant begin, boot_instant end) {
+        const std::uint64_t before = state.counters().m_granted;
+        std::uint64_t waiter = 0;
+        for (boot_instant now = begin; now < end; now += 20ms) {
+            state.take(now, acme, ++waiter);
+            state.tick(now, actions);
+        }
+        return state.counters().m_granted - before;
+    };
+    cr_assert(granted(start, start + 30s) == 0);
+    state.on_fleet_discovered(start + 30s);
+    cr_assert(granted(start + 30s, start + 33s) == 0, "another node may be about to make contact");
+    cr_assert(granted(start + 33s, start + 40s) > 200, "it is alone");
+}
+
 Test(quota, bound_holds_under_faults)
 {
     cr_assert(rc::check("bound", [] {
