Fix: a withdrawn key was in use again after a restart beside a restored store

Cause: the node knew no peer, and took the word of the store that the older revision was the newest. Ruled out: a peer's word; all had the later revision in force.

Change: the store confirms nothing before the node has found the fleet, and a revision that a peer has in force is waited for.

The test restored_store_confirmed_an_older_revision_to_a_node_that_knew_no_other fails if the store confirms before the node has joined, as it did before: the functions by which it says so are new.

--- a/src/config/confirmation_base.cpp
+++ b/src/config/confirmation_base.cpp
@@ -80,10 +80,17 @@
     match_store_evidence();
 }
 
-/** Applies the evidence of the store once the row that it speaks of has been read. */
+void confirmation::set_joined()
+{
+    m_has_joined = true;
+    match_store_evidence();
+}
+
+/** Applies the evidence of the store once this node has found the fleet and the row that it speaks of has
+ * been read. */
 void confirmation::match_store_evidence()
 {
-    if (m_head.has_value() && m_store_evidence.has_value() &&
+    if (m_has_joined && m_head.has_value() && m_store_evidence.has_value() &&
         m_head->m_version == m_store_evidence->m_version) {
         apply({m_head->m_revision, m_store_evidence->m_sent_at});
     }
--- a/src/config/confirmation_base.h
+++ b/src/config/confirmation_base.h
@@ -5,6 +5,7 @@
 #include "base/base.h"
 #include "config/confirmation_message_func.h"
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -82,6 +83,13 @@
      * @p sent_at arrived. The row itself may be read later. */
     void on_store(row_version version, boot_instant sent_at);
 
+    /** Records that a peer has @p number in force. */
+    void on_peer_revision(revision number) { m_known_newest = std::max(m_known_newest, number); }
+
+    /** Records that this node has found the fleet. Before that the store confirms nothing: if it was restored
+     * from a copy, it may have lost a revision that only peers know. */
+    void set_joined();
+
     /** Handles a control message of @p peer. Safe on untrusted input. */
     void on_message(boot_instant now, const node_id& peer, std::string_view payload,
                     std::vector<confirmation_action>& actions);
@@ -143,6 +151,7 @@
     random_source m_random;
     bool m_is_required = false;
     bool m_is_watching = false;
+    bool m_has_joined = false; ///< Whether peers have had time to tell what they have in force.
     revision m_in_force;
     revision m_known_newest; ///< Highest revision in any evidence or answer.
     std::optional<head_state> m_head;
--- a/src/node/confirmation_task.cpp
+++ b/src/node/confirmation_task.cpp
@@ -49,6 +49,21 @@
     }
 }
 
+void confirmation_task::set_joined()
+{
+    if (m_settings.m_fail_closed) {
+        m_confirmation.set_joined();
+        advance();
+    }
+}
+
+void confirmation_task::on_peer_revision(revision number)
+{
+    if (m_settings.m_fail_closed) {
+        m_confirmation.on_peer_revision(number);
+    }
+}
+
 void confirmation_task::set_in_force(const revision_in_force& configuration)
 {
     if (!m_settings.m_fail_closed) {
--- a/src/node/confirmation_task_base.h
+++ b/src/node/confirmation_task_base.h
@@ -44,6 +44,12 @@
     /** Records whether this node watches the head row. */
     void set_watching(bool is_watching);
 
+    /** Records that this node has found the fleet. */
+    void set_joined();
+
+    /** Records that a peer has @p number in force. */
+    void on_peer_revision(revision number);
+
     /** Records the revision in force. @pre the call task has been told of it. */
     void set_in_force(const revision_in_force& configuration);
 
--- a/src/node/control_task.cpp
+++ b/src/node/control_task.cpp
@@ -119,6 +119,7 @@
     const bool has_joined = m_members.has_joined(event_loop::now());
     if (has_joined && !std::exchange(m_has_joined, true)) {
         log_event(event::fleet_joined, {{"members", std::to_string(m_members.members().size())}});
+        m_confirmation.set_joined();
     }
     if (m_members.is_discoverable() && !std::exchange(m_is_discoverable, true)) {
         m_on_output(fleet_discovered{});
@@ -159,11 +160,13 @@
                    [&](member_change& change) {
                        const member_record& record = change.m_record;
                        m_watch_election.put(record);
+                       m_confirmation.on_peer_revision(record.m_revision);
                        m_spread.on_peer_revision(event_loop::now(), record.m_node, record.m_revision,
                                                  m_spread_actions);
                        m_on_output(peer_changed{record});
                    },
                    [&](member_revision& change) {
+                       m_confirmation.on_peer_revision(change.m_revision);
                        m_spread.on_peer_revision(event_loop::now(), change.m_node, change.m_revision,
                                                  m_spread_actions);
                    },
--- a/test/confirmation_test.cpp
+++ b/test/confirmation_test.cpp
@@ -160,6 +160,28 @@
     cr_assert(state.confirmed_at() == start - 300ms, "counts from when the question was sent");
 }
 
+/** review/7: a store that came back from a copy confirmed an older revision to a node that had just started.
+ */
+Test(confirmation, restored_store_confirmed_an_older_revision_to_a_node_that_knew_no_other)
+{
+    const boot_instant start(1h);
+    const row_version version{0, 7};
+    confirmation state(confirmation_settings{}, 1);
+    state.set_in_force(revision{1});
+    state.set_required(start, true);
+    state.on_head(version, revision{1});
+    state.on_store(version, start);
+    cr_assert(!state.confirmed_at().has_value(), "no peer was heard yet");
+    confirmation alone = state;
+    state.on_peer_revision(revision{2});
+    state.set_joined();
+    cr_assert(!state.confirmed_at().has_value(), "a peer has a later one in force");
+    state.set_in_force(revision{2});
+    cr_assert(state.confirmed_at() == start);
+    alone.set_joined();
+    cr_assert(alone.confirmed_at() == start, "no peer has a later one");
+}
+
 /** Without organisations or fail_closed nothing may be sent. */
 Test(confirmation, sends_nothing_unless_required)
 {
--- a/test/confirmation_world.h
+++ b/test/confirmation_world.h
@@ -131,7 +131,13 @@
 
     std::uint64_t newest() const { return m_published_at.size() - 1; }
 
-    confirmation make_state() { return confirmation(confirmation_settings{}, m_random()); }
+    /** Returns the state of a node that has found the fleet. */
+    confirmation make_state()
+    {
+        confirmation state(confirmation_settings{}, m_random());
+        state.set_joined();
+        return state;
+    }
 
     bool is_lost() { return draw(1, 100) <= m_loss_percent; }
 
