Fix: sub-calls that came late in a planned stop were interrupted at work

Cause: a late call was passed on if the latency objective of its kind fitted into the time left; it may take up to its deadline. Ruled out: an early end of the node (0.2 s before the grace ends, as meant) and servers that stop at the shorter time that they are told.

Change: once callers are refused, 2.5 s after the signal, a sub-call is passed on only if its own deadline is not later than the end of the stop; else it is refused with 503, not run. The same holds for a caller's request that passes for a sub-call.

--- a/src/call/entry.cpp
+++ b/src/call/entry.cpp
@@ -195,7 +195,7 @@
     if (outbound.m_context.m_depth > set.m_max_depth) {
         return refusal(rule::loop);
     }
-    if (!ends_before_stop(now, kind)) {
+    if (!ends_before_stop(now, new_call)) {
         return refusal(rule::draining);
     }
     new_call.m_deadline = std::min(new_call.m_deadline, m_stop_at);
@@ -236,10 +236,15 @@
     return proceed();
 }
 
-/** Returns whether a call of @p kind that starts now is likely to end before the node stops. */
-bool entry::ends_before_stop(instant now, const kind_object& kind) const
+/** Returns whether @p new_call can start now although the node stops: until callers are refused, if it is
+ * likely to end before the stop; then only if it can take all the time that it has, since its target may do
+ * so and must not be interrupted at work. */
+bool entry::ends_before_stop(instant now, const open_call& new_call) const
 {
-    return m_stop_at == instant::max() || now + kind.m_objective < m_stop_at;
+    if (m_stop_at == instant::max()) {
+        return true;
+    }
+    return m_draining ? new_call.m_deadline <= m_stop_at : now + new_call.m_kind->m_objective < m_stop_at;
 }
 
 /** Returns the key by which re-sends of @p new_call with @p headers are found; empty without an idempotency
--- a/src/call/entry_base.h
+++ b/src/call/entry_base.h
@@ -78,11 +78,11 @@
     void remove_target(const node_id& node);
 
     /** Begins a planned stop, which ends at @p end. No call lasts longer, so that each caller is answered;
-     * new calls that are unlikely to end in time are refused, and targets are told the shorter deadline. */
+     * new calls that are unlikely to end in time are refused, and targets are told the shorter time. */
     void begin_stop(instant end);
 
-    /** Refuses new requests of callers from now on, as the node is about to stop; sub-calls of its target are
-     * still accepted. */
+    /** Refuses new requests of callers from now on, as the node is about to stop. Sub-calls of its target are
+     * still accepted if their deadline is not later than the end of the stop. */
     void drain() { m_draining = true; }
 
     /** Handles a request; results in exactly one entry_reply unless on_caller_disconnected is called before.
@@ -197,7 +197,7 @@
     answer prepare(instant now, const entry_request& request, const request_fields& fields,
                    open_call& new_call);
     answer prepare_root(instant now, open_call& new_call);
-    bool ends_before_stop(instant now, const kind_object& kind) const;
+    bool ends_before_stop(instant now, const open_call& new_call) const;
     running_call* parent_call(const parent_reference& reference);
     answer begin_sub_call(instant now, open_call& new_call, attempt_id parent_id, running_call& parent);
     std::optional<attempt_id> parent_of(const entry_request& request, instant deadline) const;
