Fix: a departure of a server that the node did not know was not recorded

Cause: a departure without a start time of an unknown server counted as stale and left nothing to record, so that the acknowledgement waited for nothing. Ruled out: the first read of the table, which had ended.

Change: it is recorded with the time of its arrival, as a bound for the start times of that id, and kept like all departures. The same for departures of an earlier process than the known one and for a drain without a start time. Other ids are not affected.

--- a/src/member/announcement_type.h
+++ b/src/member/announcement_type.h
@@ -31,22 +31,24 @@
 
 /** How an announcement relates to the earlier ones. */
 enum class announcement_result {
-    stale,    ///< Superseded by an earlier received one, or its incarnation has left.
-    same,     ///< A newer announcement of the known incarnation.
-    new_life, ///< The target has restarted.
-    left      ///< An incarnation that was not known has left; it supersedes the known one.
+    stale,     ///< Superseded by an earlier received one, or its incarnation has left.
+    same,      ///< A newer announcement of the known incarnation.
+    new_life,  ///< The target has restarted.
+    left,      ///< An incarnation that was not known has left; it supersedes the known one.
+    other_left ///< A process other than the known one has left; its own announcements are stale.
 };
 
 /**
  * Orders the announcements of the one target beside a node. A later incarnation supersedes an earlier one,
  * and within an incarnation the higher sequence number wins. Announcements may arrive late and in any order.
- * One without a start time comes from another writer if the known incarnation has announced its own.
- * Thread safety: none needed; one owner.
+ * One without a start time comes from another writer if the known incarnation has announced its own, unless
+ * it is a departure, which need not contain it. Thread safety: none needed; one owner.
  */
 class announcement_order {
 public:
-    /** Records @p announcement. @return how it relates to the earlier announcements. */
-    announcement_result take(const target_announcement& announcement);
+    /** Records @p announcement, which arrived at @p now. @return how it relates to the earlier announcements.
+     */
+    announcement_result take(const target_announcement& announcement, wall_time now);
 
     /** Records a departure that an earlier process of the node acknowledged, unless a later incarnation or
      * one without a start time is known. @return whether the known incarnation has left thereby. */
@@ -55,10 +57,16 @@
     /** Returns whether @p announcement belongs to the known incarnation. */
     bool is_current(const target_announcement& announcement) const;
 
-    /** Returns the departure that the known incarnation has when it drains or leaves. */
-    target_departure departure() const { return {m_instance, m_incarnation}; }
+    /** Returns the departure that the known incarnation has when it drains or leaves at @p now. */
+    target_departure departure(wall_time now) const;
+
+    /** Returns the departure to record for @p announcement, which does not serve and arrived at @p now. */
+    target_departure departure_of(const target_announcement& announcement, wall_time now) const;
 
 private:
+    bool has_departed(const target_announcement& announcement) const;
+
+    departure_list m_departures;  ///< Of processes that were not known when they left.
     std::string m_instance;       ///< Instance id of the newest incarnation.
     incarnation m_incarnation;    ///< Newest incarnation.
     std::uint64_t m_sequence = 0; ///< Highest sequence number of that incarnation.
--- a/src/member/departure.cpp
+++ b/src/member/departure.cpp
@@ -1,5 +1,6 @@
-/** @file departure.cpp Departures of targets as JSON in the platform's table, [[id, start time], ...], and as
- * CBOR in messages: [0, generation, departures], [1, generation, is stored] and [2, departures]. */
+/** @file departure.cpp Departures of targets as JSON in the platform's table, [[id, start time], ...] with a
+ * third field, true, if the time is a bound, and as CBOR in messages: [0, generation, departures], [1,
+ * generation, is stored] and [2, departures]. */
 #include "base/cbor_guard_func.h"
 #include "member/departure_type.h"
 
@@ -7,6 +8,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 namespace waxwing {
 
@@ -18,6 +20,8 @@
 constexpr std::size_t max_message_bytes = 16UL * 1024UL;
 constexpr std::size_t max_id_bytes = 512;
 constexpr std::size_t message_depth = 3; ///< Message, departures, departure.
+constexpr std::size_t dated_fields = 2;
+constexpr std::size_t bound_fields = 3;
 constexpr std::uint64_t offer_type = 0;
 constexpr std::uint64_t receipt_type = 1;
 constexpr std::uint64_t reminder_type = 2;
@@ -26,7 +30,11 @@
 {
     json items = json::array();
     for (const target_departure& departure : departures.items()) {
-        items.push_back(json::array({departure.m_instance, departure.m_incarnation.m_value}));
+        json fields = json::array({departure.m_instance, departure.m_incarnation.m_value});
+        if (departure.m_is_bound) {
+            fields.push_back(true);
+        }
+        items.push_back(std::move(fields));
     }
     return items;
 }
@@ -34,11 +42,16 @@
 /** Reads one departure. @return false if it is invalid. */
 bool read_departure(const json& fields, departure_list& departures)
 {
-    if (!fields.is_array() || fields.size() != 2 || !fields[0].is_string() ||
-        !fields[1].is_number_unsigned() || fields[0].get_ref<const std::string&>().size() > max_id_bytes) {
+    if (!fields.is_array() || fields.size() < dated_fields || fields.size() > bound_fields ||
+        !fields[0].is_string() || !fields[1].is_number_unsigned() ||
+        fields[0].get_ref<const std::string&>().size() > max_id_bytes) {
         return false;
     }
-    departures.add({fields[0].get<std::string>(), incarnation{fields[1].get<std::uint64_t>()}});
+    const bool is_bound = fields.size() == bound_fields;
+    if (is_bound && fields[2] != json(true)) {
+        return false;
+    }
+    departures.add({fields[0].get<std::string>(), incarnation{fields[1].get<std::uint64_t>()}, is_bound});
     return true;
 }
 
@@ -69,6 +82,12 @@
 
 } // namespace
 
+target_departure undated_departure(std::string instance, wall_time now)
+{
+    const auto milliseconds = static_cast<std::uint64_t>(now.time_since_epoch().count());
+    return {std::move(instance), incarnation{milliseconds}, true};
+}
+
 bool departure_list::covers(const target_departure& departure) const
 {
     return std::any_of(m_items.begin(), m_items.end(), [&](const target_departure& known) {
--- a/src/member/departure_type.h
+++ b/src/member/departure_type.h
@@ -14,11 +14,18 @@
 /** The incarnation of a target that drains or has left. It gets no new work any more. */
 struct target_departure {
     std::string m_instance;    ///< Id of the process.
-    incarnation m_incarnation; ///< Its start time; zero if it was not announced.
+    incarnation m_incarnation; ///< Its start time.
+    /** Whether m_incarnation is the time of the departure instead, as the start time is not known. All
+     * incarnations of that id that started earlier have left. */
+    bool m_is_bound = false;
 
     friend bool operator==(const target_departure&, const target_departure&) = default;
 };
 
+/** Returns the departure of the process @p instance at @p now, whose start time is not known. Processes on
+ * one machine share its clock, so that one that starts later has a later start time. Thread safety: pure. */
+target_departure undated_departure(std::string instance, wall_time now);
+
 /**
  * The latest departures of the targets of one node. It only grows, so that copies of it can be merged in any
  * order. Thread safety: none needed; one owner.
--- a/src/node/announcement_task.cpp
+++ b/src/node/announcement_task.cpp
@@ -74,7 +74,7 @@
 
 void announcement_task::record(const target_departure& departure)
 {
-    if (departure.m_incarnation.m_value != 0 && m_departures.add(departure)) {
+    if (m_departures.add(departure)) {
         on_list_changed();
     }
 }
--- a/src/node/announcement_task_base.h
+++ b/src/node/announcement_task_base.h
@@ -59,8 +59,7 @@
     /** Handles an announcement. @param acknowledge is called once, possibly before this returns. */
     void announce(const target_announcement& announcement, acknowledgement acknowledge);
 
-    /** Records @p departure, unless it or a later one of the same id is known. A departure of an incarnation
-     * without a start time is not recorded, as later announcements could not be compared with it. */
+    /** Records @p departure, unless it or a later one of the same id is known. */
     void record(const target_departure& departure);
 
     /** Writes the known departures again, as the platform has restored its table from an older copy. */
--- a/src/node/target_task.cpp
+++ b/src/node/target_task.cpp
@@ -93,10 +93,15 @@
 
 void target_task::announce(const target_announcement& announcement)
 {
-    const announcement_result effect = m_order.take(announcement);
+    const wall_time now = event_loop::wall_now();
+    const announcement_result effect = m_order.take(announcement, now);
     if (effect == announcement_result::stale) {
         return;
     }
+    if (effect == announcement_result::other_left) {
+        m_on_output(target_departed{m_order.departure_of(announcement, now)});
+        return;
+    }
     if (effect == announcement_result::new_life) {
         begin_incarnation(announcement);
     }
@@ -123,7 +128,7 @@
 void target_task::depart()
 {
     raise("drain");
-    m_on_output(target_departed{m_order.departure()});
+    m_on_output(target_departed{m_order.departure(event_loop::wall_now())});
 }
 
 void target_task::restore_departure(const target_departure& departure)
--- a/test/target_task_test.cpp
+++ b/test/target_task_test.cpp
@@ -196,6 +196,20 @@
     cr_assert(unknown.m_task.state() == target_state::draining);
 }
 
+/** A target may leave before its first announcement has arrived, and without a start time. */
+Test(target_task, the_departure_of_a_process_that_is_not_known_is_reported)
+{
+    target_fixture fixture;
+    target_announcement departure;
+    departure.m_instance = "i-2";
+    departure.m_intent = target_intent::leave;
+    fixture.m_task.announce(departure);
+    const auto* const reported = fixture.last<target_departed>();
+    cr_assert(reported != nullptr && reported->m_departure.m_instance == "i-2");
+    cr_assert(reported->m_departure.m_is_bound && reported->m_departure.m_incarnation.m_value > 0);
+    cr_assert(fixture.m_task.state() == target_state::ready, "the known target serves on");
+}
+
 Test(target_task, a_target_whose_departure_is_restored_late_is_drained)
 {
     target_fixture fixture;
