--- a/src/member/departure.cpp
+++ b/src/member/departure.cpp
@@ -1,7 +1,6 @@
 /** @file departure.cpp Departures of targets as JSON in the platform's table, [[id, start time], ...] with a
  * third field, true, if the time is a bound, and as CBOR in messages: [0, generation, departures], [1,
  * generation, is stored] and [2, departures]. */
-#include "base/cbor_guard_func.h"
 #include "member/departure_type.h"
 
 #include <nlohmann/json.hpp>
--- a/src/node/announcement_task.cpp
+++ b/src/node/announcement_task.cpp
@@ -42,27 +42,17 @@
 
 void announcement_task::announce(const target_announcement& announcement, acknowledgement acknowledge)
 {
-    const bool departs = announcement.m_intent != target_intent::serve;
-    if (departs) {
-        if (m_waiting.size() == max_waiting) {
-            m_waiting.front().m_acknowledge(false);
-            m_waiting.erase(m_waiting.begin());
-        }
-        m_waiting.push_back({event_loop::now(), std::nullopt, std::move(acknowledge)});
-    }
-    if (m_is_holding) {
-        if (m_held.size() == max_held) {
-            m_held.pop_front();
-        }
-        m_held.push_back(announcement);
-    }
-    else {
-        pass_on(announcement);
-    }
-    if (!departs) {
+    if (announcement.m_intent == target_intent::serve) {
+        receive(announcement);
         acknowledge(true);
         return;
     }
+    if (m_waiting.size() == max_waiting) {
+        m_waiting.front().m_acknowledge(false);
+        m_waiting.erase(m_waiting.begin());
+    }
+    m_waiting.push_back({event_loop::now(), std::nullopt, std::move(acknowledge)});
+    receive(announcement);
     if (!m_is_holding) {
         m_waiting.back().m_generation = m_generation;
         acknowledge_kept();
@@ -72,6 +62,19 @@
     }
 }
 
+/** Passes @p announcement on, or holds it until the first read has ended. */
+void announcement_task::receive(const target_announcement& announcement)
+{
+    if (!m_is_holding) {
+        pass_on(announcement);
+        return;
+    }
+    if (m_held.size() == max_held) {
+        m_held.pop_front();
+    }
+    m_held.push_back(announcement);
+}
+
 void announcement_task::record(const target_departure& departure)
 {
     if (m_departures.add(departure)) {
--- a/src/node/announcement_task_base.h
+++ b/src/node/announcement_task_base.h
@@ -82,6 +82,7 @@
     void read();
     void on_read(const result<std::optional<table_row>>& row);
     void restore(const departure_list& departures);
+    void receive(const target_announcement& announcement);
     void pass_held_on();
     void pass_on(const target_announcement& announcement);
     bool is_usable(const target_announcement& announcement);
--- a/test/departure_test.cpp
+++ b/test/departure_test.cpp
@@ -92,7 +92,7 @@
     cr_assert(std::get<departure_reminder>(reminder.value()).m_departures == list);
     cr_assert(decode_departure_message(encode_departure_message(departure_offer{})).has_error(),
               "no departure");
-    cr_assert(rc::check([&](std::string bytes, std::uint16_t place, char value) {
+    cr_assert(rc::check([&](const std::string& bytes, std::uint16_t place, char value) {
         static_cast<void>(decode_departure_message(bytes));
         std::string damaged = encode_departure_message(departure_offer{7, list});
         damaged[place % damaged.size()] = value;
