Fix: a departure was not offered again to a keeper that had restarted

Found by reading the diff: the node counted a keeper's receipt after the keeper's process had been replaced, so that keepers that restart one after the other in a long outage of the store would have left a departure that nobody held.

Change: receipts of a node end with its process; the next offer, within a second, goes to it again.

Measured: departure_is_offered_again_to_a_keeper_that_has_restarted fails (60 s) with the receipts kept, and passes.

--- a/src/node/announcement_task_base.h
+++ b/src/node/announcement_task_base.h
@@ -65,6 +65,9 @@
     /** Writes the known departures again, as the platform has restored its table from an older copy. */
     void on_table_restored();
 
+    /** Records that a new process of @p node has joined, which holds nothing of what an earlier one did. */
+    void on_new_process(const node_id& node) { m_receipts.erase(node); }
+
     /** Handles the answer of @p keeper to an offer. */
     void on_receipt(const node_id& keeper, const departure_receipt& receipt);
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -208,6 +208,7 @@
             std::exchange(m_incarnations[record.m_node], record.m_incarnation) != record.m_incarnation;
         if (is_new) {
             send_quarantine_snapshot(record);
+            m_announcements.on_new_process(record.m_node);
             m_departure_keeper.on_new_process(record.m_node);
         }
     }
