Fix: watchers that the table turns away are replaced by nodes that it serves

Cause: the office of a watcher goes to the members that rank first among those that are alive. One that the table turns away stays alive and keeps it; with all watchers turned away nobody else reads the row within 60 s. Ruled out: gossip and links, which were undisturbed and spread a version within a second once one node had it.

Change: pings and acks carry the age of the latest contact of any watcher with the table. Nodes for which that is too old try to read the head row at random times, six a second in the whole fleet at first; one that succeeds watches until an elected node has a contact again.

The calls of tests to watch_election::update take the contacts as a further argument; their checks are as they were.

--- a/src/member/gossip_codec.cpp
+++ b/src/member/gossip_codec.cpp
@@ -265,6 +265,35 @@
     return true;
 }
 
+/** Returns whether messages of @p kind contain the ages of the contacts with the platform's table. */
+bool has_contact_ages(gossip_kind kind)
+{
+    return kind == gossip_kind::ping || kind == gossip_kind::ack;
+}
+
+/** Takes the ages that follow the only digest of a ping or ack out of the list of digests. Messages of
+ * earlier versions have none. */
+void take_contact_ages(gossip_message& message)
+{
+    constexpr std::size_t digests_with_ages = 3;
+    if (has_contact_ages(message.m_kind) && message.m_digests.size() == digests_with_ages) {
+        message.m_contact_ages = contact_ages{message.m_digests[1], message.m_digests[2]};
+        message.m_digests.resize(1);
+    }
+}
+
+/** Returns the digests of @p message. The ages are among them, since earlier versions reject messages with
+ * another number of fields. */
+json write_digests(const gossip_message& message)
+{
+    json digests = message.m_digests;
+    if (message.m_contact_ages) {
+        digests.push_back(message.m_contact_ages->m_any_ms);
+        digests.push_back(message.m_contact_ages->m_elected_ms);
+    }
+    return digests;
+}
+
 /** Decodes the sender's record, which may be null. @return false if it is invalid. */
 bool read_sender(const json& fields, std::optional<member_record>& from)
 {
@@ -287,7 +316,7 @@
     const json fields = json::array({(format_version << 8U) | static_cast<std::uint64_t>(message.m_kind),
                                      from, message.m_sequence, message.m_node.m_value,
                                      message.m_incarnation.m_value, write_address(message.m_address),
-                                     message.m_first_bucket, message.m_digests, std::move(items)});
+                                     message.m_first_bucket, write_digests(message), std::move(items)});
     const std::vector<std::uint8_t> bytes = json::to_cbor(fields);
     return {bytes.begin(), bytes.end()};
 }
@@ -324,6 +353,7 @@
         return fail(error_code::invalid, "the gossip message has an invalid field");
     }
     message.m_kind = static_cast<gossip_kind>(format_and_kind & 0xFFU);
+    take_contact_ages(message);
     return message;
 }
 
--- a/src/member/gossip_type.h
+++ b/src/member/gossip_type.h
@@ -41,6 +41,15 @@
 };
 inline constexpr std::size_t gossip_kinds = 8;
 
+/** Ages of table_contacts in milliseconds when a message was sent; max_contact_age_ms if there was none. */
+struct contact_ages {
+    std::uint32_t m_any_ms = 0;     ///< Of m_any.
+    std::uint32_t m_elected_ms = 0; ///< Of m_elected.
+};
+
+/** Contacts of this age and older are not told to other nodes. */
+inline constexpr std::uint32_t max_contact_age_ms = 600'000;
+
 /** One datagram. Fields that a kind does not use are empty. */
 struct gossip_message {
     gossip_kind m_kind = gossip_kind::rumour; ///< Message type.
@@ -52,7 +61,8 @@
     std::size_t m_first_bucket = 0;           ///< Bucket of the first digest.
     std::vector<std::uint32_t>
         m_digests; ///< Digests of consecutive buckets; a single one covers all buckets in a ping or ack.
-    std::vector<gossip_item> m_items; ///< Piggybacked or requested updates.
+    std::vector<gossip_item> m_items;                          ///< Piggybacked or requested updates.
+    std::optional<contact_ages> m_contact_ages = std::nullopt; ///< In a ping or ack.
 };
 
 } // namespace waxwing
--- a/src/member/member_type.h
+++ b/src/member/member_type.h
@@ -4,6 +4,8 @@
 
 #include "base/base.h"
 
+#include <algorithm>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -48,6 +50,19 @@
     revision m_revision;                          ///< Configuration revision in force.
 };
 
+/** When the platform's table last answered nodes that watch it, as far as one node knows; none if never. */
+struct table_contacts {
+    std::optional<instant> m_any;     ///< Any node.
+    std::optional<instant> m_elected; ///< A node that is elected to watch.
+
+    /** Keeps the later moments of both. */
+    void merge(const table_contacts& other)
+    {
+        m_any = std::max(m_any, other.m_any);
+        m_elected = std::max(m_elected, other.m_elected);
+    }
+};
+
 /** Sends a gossip payload by datagram. */
 struct member_send {
     endpoint m_to;         ///< Destination.
--- a/src/member/membership.cpp
+++ b/src/member/membership.cpp
@@ -38,11 +38,12 @@
         return;
     }
     m_state->m_was_contacted |= message.m_from && message.m_from->m_node != m_state->m_self.m_node;
+    m_state->merge_contacts(now, message);
     const bool changed = m_state->merge_items(active_now, message, actions);
     switch (message.m_kind) {
     case gossip_kind::ping:
         m_state->compare_digest(active_now, message, actions);
-        m_state->on_ping(from, message, actions);
+        m_state->on_ping(active_now, from, message, actions);
         break;
     case gossip_kind::ack:
         m_state->compare_digest(active_now, message, actions);
@@ -160,6 +161,16 @@
     }
 }
 
+void membership::add_table_contacts(const table_contacts& contacts)
+{
+    m_state->m_contacts.merge(contacts);
+}
+
+const table_contacts& membership::contacts() const
+{
+    return m_state->m_contacts;
+}
+
 void membership::leave(instant now, std::vector<member_action>& actions)
 {
     const instant active_now = m_state->observe(now, actions);
--- a/src/member/membership_base.h
+++ b/src/member/membership_base.h
@@ -75,6 +75,12 @@
     /** Records the revision in force and tells it to peers. A lower revision is ignored. */
     void set_revision(instant now, revision in_force, std::vector<member_action>& actions);
 
+    /** Records that the platform's table has answered nodes that watch it, which is told to peers. */
+    void add_table_contacts(const table_contacts& contacts);
+
+    /** Returns the latest contacts of all nodes with the platform's table, as far as this node knows. */
+    const table_contacts& contacts() const;
+
     /** Announces to peers that this node leaves, and deletes its row. */
     void leave(instant now, std::vector<member_action>& actions);
 
--- a/src/member/membership_merge.cpp
+++ b/src/member/membership_merge.cpp
@@ -53,6 +53,20 @@
 
 } // namespace
 
+/** Takes over the contacts with the platform's table that @p message reports. */
+void membership::state::merge_contacts(instant now, const gossip_message& message)
+{
+    if (!message.m_contact_ages) {
+        return;
+    }
+    const auto contact_at = [now](std::uint32_t age_ms) {
+        return age_ms < max_contact_age_ms ? std::optional(now - std::chrono::milliseconds(age_ms))
+                                           : std::nullopt;
+    };
+    m_contacts.merge(
+        {contact_at(message.m_contact_ages->m_any_ms), contact_at(message.m_contact_ages->m_elected_ms)});
+}
+
 bool membership::state::merge_items(instant active_now, const gossip_message& message, actions& out)
 {
     const gossip_source source = source_of(message.m_kind);
--- a/src/member/membership_probe.cpp
+++ b/src/member/membership_probe.cpp
@@ -28,6 +28,7 @@
     gossip_message ping{
         gossip_kind::ping, m_self, m_sequence, record.m_node, record.m_incarnation, {}, 0, {}, {}};
     ping.m_digests = {m_table.digest_of_all()};
+    ping.m_contact_ages = contact_ages_at(active_now);
     fill(ping, max_piggyback_bytes);
     send(std::move(ping), record.m_gossip, record.m_node, out);
 }
@@ -120,7 +121,8 @@
     }
 }
 
-void membership::state::on_ping(const endpoint& from, const gossip_message& message, actions& out)
+void membership::state::on_ping(instant active_now, const endpoint& from, const gossip_message& message,
+                                actions& out)
 {
     const bool addressed_to_self =
         message.m_node == m_self.m_node && !(m_self.m_incarnation < message.m_incarnation);
@@ -131,6 +133,7 @@
     reply.m_sequence = message.m_sequence;
     if (addressed_to_self) {
         reply.m_digests = {m_table.digest_of_all()};
+        reply.m_contact_ages = contact_ages_at(active_now);
         fill(reply, max_piggyback_bytes);
     }
     send(std::move(reply), from, sender, out);
--- a/src/member/membership_spread.cpp
+++ b/src/member/membership_spread.cpp
@@ -85,6 +85,16 @@
     fill_notes(message, free_bytes);
 }
 
+/** Returns how old the contacts with the platform's table are at @p active_now. */
+contact_ages membership::state::contact_ages_at(instant active_now) const
+{
+    const auto age_ms = [now = active_now + m_paused](const std::optional<instant>& contact) {
+        const std::int64_t age = contact ? to_milliseconds(now - *contact) : max_contact_age_ms;
+        return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, max_contact_age_ms));
+    };
+    return {age_ms(m_contacts.m_any), age_ms(m_contacts.m_elected)};
+}
+
 void membership::state::fill_notes(gossip_message& message, std::size_t& free_bytes)
 {
     for (std::size_t turn = std::min(m_notes.size(), max_notes); turn > 0; --turn) {
--- a/src/member/membership_state.h
+++ b/src/member/membership_state.h
@@ -66,6 +66,7 @@
     member_record m_self;
     random_source m_random;
     member_table m_table;
+    table_contacts m_contacts; ///< Latest contacts of all nodes; not in active time.
 
     bool m_started = false;
     duration m_paused{};           ///< Sum of all pauses of this process.
@@ -127,7 +128,7 @@
     void ask_helpers(pending_probe& probe, actions& out);
     void record_probe_result(bool failed);
     void expire_suspicions(instant active_now, actions& out);
-    void on_ping(const endpoint& from, const gossip_message& message, actions& out);
+    void on_ping(instant active_now, const endpoint& from, const gossip_message& message, actions& out);
     void on_ack(const gossip_message& message, actions& out);
     void on_ping_request(const endpoint& from, const gossip_message& message, actions& out);
     void on_indirect_ack(const gossip_message& message);
@@ -135,6 +136,7 @@
 
     // Dissemination (membership_spread.cpp).
     void fill(gossip_message& message, std::size_t free_bytes);
+    contact_ages contact_ages_at(instant active_now) const;
     void fill_notes(gossip_message& message, std::size_t& free_bytes);
     void send(gossip_message message, const endpoint& to, const node_id& to_node, actions& out);
     void send_rumours(instant active_now, actions& out);
@@ -151,6 +153,7 @@
     unsigned transmit_limit() const;
 
     // Merge (membership_merge.cpp).
+    void merge_contacts(instant now, const gossip_message& message);
     bool merge_items(instant active_now, const gossip_message& message, actions& out);
     bool merge_record(instant active_now, const member_record& update, gossip_source source, actions& out);
     bool merge_claim(instant active_now, const member_claim& claim, gossip_source source, actions& out);
--- a/src/node/control_task.cpp
+++ b/src/node/control_task.cpp
@@ -40,7 +40,7 @@
                            incarnation own_incarnation, std::uint64_t seed, handler on_output)
     : m_loop(loop), m_settings(settings), m_on_output(std::move(on_output)),
       m_members(member_settings{}, to_member_record(settings, own_incarnation), seed),
-      m_watch_election(settings.m_name, settings.m_data_centre, watch_settings{}),
+      m_watch_election(settings.m_name, settings.m_data_centre, watch_settings{}, seed + 3),
       m_spread(to_spread_settings(platform_storage), seed + 1), m_storage(platform_storage),
       m_confirmation(
           loop, settings, seed + 2,
@@ -67,6 +67,11 @@
     }
     m_datagrams = std::move(datagrams).value();
     m_storage.watch_row(std::string(head_key), [this] { read_head(); });
+    m_storage.watch_contacts(std::string(head_key), [this](boot_instant sent_at) {
+        const instant contact_at = event_loop::now() - (event_loop::boot_now() - sent_at);
+        m_members.add_table_contacts(
+            {contact_at, m_watch_election.is_elected() ? std::optional(contact_at) : std::nullopt});
+    });
     if (m_settings.m_fail_closed) {
         m_storage.watch_confirmations(
             std::string(head_key),
@@ -126,21 +131,43 @@
     }
 }
 
-/** Starts or stops watching the head row, as the election decides. */
+/** Starts or stops watching the head row, or tries to read it, as the election decides. */
 void control_task::update_watch()
 {
     const instant now = event_loop::now();
-    const bool is_watching = m_watch_election.update(now, m_members.likely_isolated(now));
+    const watch_action action =
+        m_watch_election.update(now, m_members.likely_isolated(now), m_members.contacts());
+    if (action == watch_action::attempt) {
+        attempt_watch();
+    }
+    const bool is_watching = action == watch_action::watch;
     if (is_watching == m_is_watching) {
         return;
     }
     m_is_watching = is_watching;
-    log_event(event::watch_changed, {{"watching", is_watching ? "yes" : "no"}});
+    log_event(event::watch_changed, {{"watching", is_watching ? "yes" : "no"},
+                                     {"substitute", m_watch_election.is_substitute() ? "yes" : "no"}});
     m_spread.set_watching(now, is_watching);
     m_confirmation.set_watching(is_watching);
     m_storage.set_watch_active(std::string(head_key), is_watching);
 }
 
+/** Reads the head row, to watch it in place of the elected nodes if the table answers. A failure does not
+ * reach the distribution, which would request the revision from a random peer each time. */
+void control_task::attempt_watch()
+{
+    m_storage.read(std::string(head_key),
+                   [this, sent_at = event_loop::now()](const result<std::optional<table_row>>& row) {
+                       m_watch_election.on_attempt(event_loop::now(), row.has_value());
+                       if (row.has_value()) {
+                           m_members.add_table_contacts({sent_at, std::nullopt});
+                           on_head(row);
+                           return;
+                       }
+                       process_actions();
+                   });
+}
+
 /** Logs once for each accepted revision that this version cannot read. */
 void control_task::log_unreadable_revision()
 {
--- a/src/node/control_task_base.h
+++ b/src/node/control_task_base.h
@@ -79,6 +79,7 @@
     void log_unreadable_revision();
     void on_timer();
     void update_watch();
+    void attempt_watch();
     void report_progress();
     void on_platform_result(bool is_working, const std::string& reason);
 
--- a/src/storage/storage.h
+++ b/src/storage/storage.h
@@ -98,6 +98,13 @@
      * calls. @pre no handler is registered yet. */
     virtual void watch_confirmations(const std::string& key, confirmation_handler on_confirmed) = 0;
 
+    /** Called with the time at which a call was sent that the store has answered. */
+    using contact_handler = std::function<void(boot_instant sent_at)>;
+
+    /** Registers the handler that is called each time the store has answered the active watch of the row
+     * @p key or a check of it. @pre the row has a watch. */
+    virtual void watch_contacts(const std::string& key, contact_handler on_contact) = 0;
+
     /** Stores the object @p name; storing the same bytes again is harmless. */
     virtual void put_object(const std::string& name, std::string bytes, handler<bool> on_done) = 0;
 
--- a/test/announcement_task_test.cpp
+++ b/test/announcement_task_test.cpp
@@ -55,6 +55,7 @@
     void set_watch_active(const std::string&, bool) override {}
     void watch_restorations(std::function<void()>) override {}
     void watch_confirmations(const std::string&, confirmation_handler) override {}
+    void watch_contacts(const std::string&, contact_handler) override {}
     void put_object(const std::string&, std::string, handler<bool>) override {}
     void get_object(const std::string&, handler<std::optional<std::string>>) override {}
 
--- a/test/config_watch_test.cpp
+++ b/test/config_watch_test.cpp
@@ -12,6 +12,7 @@
 
 constexpr duration step = 2ms;       ///< Resolution of the simulation, and delay of messages between nodes.
 constexpr duration feed_delay = 5ms; ///< Until a watcher is told of a change.
+constexpr duration check_interval = 950ms; ///< Between the checks of the table by a watcher.
 
 /** Returns the configuration of revision @p number. */
 std::string text_of(std::uint64_t number)
@@ -33,6 +34,7 @@
     watch_election m_election;
     bool m_is_watching = false;
     bool m_has_store = true;   ///< Whether it reaches the table.
+    instant m_checked_at{};    ///< When it last checked the table.
     bool m_is_running = true;  ///< Whether its process runs.
     std::uint64_t m_known = 0; ///< Revision that its watch has reported.
 };
@@ -58,9 +60,9 @@
         for (std::size_t index = 0; index < count; ++index) {
             const node_id name{"node-" + std::to_string(index)};
             m_names[name.m_value] = index;
-            m_nodes.push_back(
-                {spread(spread_settings{}, seed + index),
-                 watch_election(name, {"eg-north-" + std::to_string(index % 4 + 1)}, watch_settings{})});
+            m_nodes.push_back({spread(spread_settings{}, seed + index),
+                               watch_election(name, {"eg-north-" + std::to_string(index % 4 + 1)},
+                                              watch_settings{}, seed + index)});
             m_actions.emplace_back();
             m_network.start(name.m_value, 1);
         }
@@ -84,6 +86,22 @@
         m_nodes[index].m_is_running = false;
     }
 
+    /** Makes the table turn away the nodes that watch it now, and no others. */
+    void refuse_watchers()
+    {
+        for (watch_node& node : m_nodes) {
+            node.m_has_store = !node.m_is_watching;
+        }
+    }
+
+    /** Makes the table answer all nodes, or none. */
+    void set_table_available(bool is_available)
+    {
+        for (watch_node& node : m_nodes) {
+            node.m_has_store = is_available;
+        }
+    }
+
     /** Accepts the revision @p number. */
     void publish(std::uint64_t number)
     {
@@ -124,6 +142,7 @@
     member_network m_network;
     std::vector<watch_node> m_nodes;
     std::size_t m_head_reads = 0; ///< Reads of the head row and objects, by all nodes.
+    std::size_t m_attempts = 0;   ///< Attempts to replace the watchers, by all nodes.
 
 private:
     void advance(std::size_t index)
@@ -138,12 +157,22 @@
             node.m_election.on_message(now);
             member.m_bytes_in = 0;
         }
-        const bool is_watching = node.m_election.update(now, member.m_membership->likely_isolated(now));
+        const watch_action duty = node.m_election.update(now, member.m_membership->likely_isolated(now),
+                                                         member.m_membership->contacts());
+        if (duty == watch_action::attempt) {
+            attempt(index);
+        }
+        const bool is_watching = duty == watch_action::watch;
         if (is_watching != node.m_is_watching) {
             node.m_is_watching = is_watching;
             node.m_known = 0;
             node.m_spread.set_watching(now, is_watching);
         }
+        if (node.m_is_watching && node.m_has_store && node.m_checked_at + check_interval <= now) {
+            node.m_checked_at = now;
+            member.m_membership->add_table_contacts(
+                {now, node.m_election.is_elected() ? std::optional(now) : std::nullopt});
+        }
         if (node.m_is_watching && node.m_has_store && node.m_known < m_head &&
             m_published_at + feed_delay <= now) {
             node.m_known = m_head;
@@ -160,6 +189,18 @@
         }
     }
 
+    /** Reads the head row on node @p index, in order to replace the watchers. */
+    void attempt(std::size_t index)
+    {
+        watch_node& node = m_nodes[index];
+        ++m_attempts;
+        node.m_election.on_attempt(m_network.now(), node.m_has_store);
+        if (node.m_has_store) {
+            m_network.nodes()[index].m_membership->add_table_contacts({m_network.now(), std::nullopt});
+            execute(index, spread_read_head{});
+        }
+    }
+
     void execute(std::size_t index, const spread_action& action)
     {
         watch_node& node = m_nodes[index];
@@ -287,3 +328,76 @@
     fleet.run(100ms);
     cr_expect(node->m_spread.in_force().m_value == 1);
 }
+
+/** review/12: a watcher that the table turns away is alive, so nobody took its place. A revision was not in
+ * force before the table answered the watchers again. */
+Test(config_watch, watchers_that_the_table_turns_away_were_not_replaced)
+{
+    for (const std::size_t count : {16U, 60U, 200U}) {
+        for (const duration lead : {0ms, 200ms, 4000ms}) {
+            watch_fleet fleet(count, count);
+            fleet.run(25s);
+            fleet.refuse_watchers();
+            fleet.run(lead);
+            const duration taken = fleet.time_to_reach_all(1, 20s);
+            cr_expect(taken <= 7s, "%zu nodes, refused %ld ms before: %ld ms", count, to_milliseconds(lead),
+                      to_milliseconds(taken));
+        }
+    }
+}
+
+/** The table turns away those who take over, too. */
+Test(config_watch, successors_that_the_table_turns_away_are_replaced)
+{
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        watch_fleet fleet(60, seed);
+        fleet.run(8s);
+        for (int round = 0; round < 3; ++round) {
+            fleet.refuse_watchers();
+            fleet.run(7s);
+        }
+        const duration taken = fleet.time_to_reach_all(1, 20s);
+        cr_expect(taken <= 7s, "seed %lu: %ld ms", seed, to_milliseconds(taken));
+    }
+}
+
+/** Only the nodes of one data centre reach each other, and the table turns away those that watch there. */
+Test(config_watch, watchers_of_a_data_centre_that_is_cut_off_are_replaced)
+{
+    watch_fleet fleet(60, 8);
+    fleet.run(25s);
+    for (std::size_t index = 0; index < fleet.m_nodes.size(); index += 4) {
+        fleet.m_network.nodes()[index].m_partition = 1;
+        fleet.m_nodes[index].m_has_store = !fleet.m_nodes[index].m_is_watching;
+    }
+    fleet.run(1s);
+    const duration taken = fleet.time_to_reach_all(1, 20s);
+    cr_expect(taken <= 7s, "%ld ms", to_milliseconds(taken));
+}
+
+/** A substitute resigns once elected nodes reach the table again. */
+Test(config_watch, substitutes_watch_only_while_the_elected_nodes_cannot)
+{
+    watch_fleet fleet(60, 9);
+    fleet.run(25s);
+    fleet.refuse_watchers();
+    fleet.run(12s);
+    cr_expect(fleet.watcher_count() > 12, "%zu", fleet.watcher_count());
+    fleet.set_table_available(true);
+    fleet.run(8s);
+    cr_expect(fleet.watcher_count() == 12, "%zu", fleet.watcher_count());
+}
+
+/** What replaces the watchers must cost nothing while they reach the table, and little in an outage. */
+Test(config_watch, nodes_attempt_to_watch_only_while_no_watcher_reaches_the_table)
+{
+    for (const std::size_t count : {4U, 16U, 60U, 200U}) {
+        watch_fleet fleet(count, count);
+        fleet.run(40s);
+        cr_expect(fleet.m_attempts == 0, "%zu nodes: %zu attempts", count, fleet.m_attempts);
+        fleet.set_table_available(false);
+        fleet.run(20s);
+        const std::size_t limit = 20 * watch_settings{}.m_attempts_per_second + 10;
+        cr_expect(fleet.m_attempts <= limit, "%zu nodes: %zu attempts", count, fleet.m_attempts);
+    }
+}
--- a/test/confirmation_test.cpp
+++ b/test/confirmation_test.cpp
@@ -220,17 +220,17 @@
     };
     std::set<node_id> elected;
     for (std::size_t index = 0; index < 30; ++index) {
-        watch_election& election =
-            elections.emplace_back(record_of(index).m_node, record_of(index).m_data_centre, watch_settings{});
+        watch_election& election = elections.emplace_back(
+            record_of(index).m_node, record_of(index).m_data_centre, watch_settings{}, index);
         for (std::size_t other = 0; other < 30; ++other) {
             if (other != index) {
                 election.put(record_of(other));
             }
         }
         election.on_message(instant(1h));
-        election.update(instant(1h), false);
+        election.update(instant(1h), false, {});
         election.on_message(instant(1h + 1s));
-        if (election.update(instant(1h + 1s), false)) {
+        if (election.update(instant(1h + 1s), false, {}) == watch_action::watch) {
             elected.insert(record_of(index).m_node);
         }
     }
--- a/test/gossip_codec_test.cpp
+++ b/test/gossip_codec_test.cpp
@@ -112,6 +112,20 @@
     cr_assert(decode_row(good).has_value());
 }
 
+/** A ping tells how long ago the table answered a watcher; earlier versions send none of it. */
+Test(gossip_codec, contact_ages_of_a_ping_round_trip)
+{
+    gossip_message ping;
+    ping.m_kind = gossip_kind::ping;
+    ping.m_digests = {7};
+    cr_assert(!decode_gossip(encode_gossip(ping)).value().m_contact_ages);
+    ping.m_contact_ages = contact_ages{900, max_contact_age_ms};
+    const gossip_message decoded = decode_gossip(encode_gossip(ping)).value();
+    cr_assert(decoded.m_digests == ping.m_digests && decoded.m_contact_ages);
+    cr_assert(decoded.m_contact_ages->m_any_ms == 900);
+    cr_assert(decoded.m_contact_ages->m_elected_ms == max_contact_age_ms);
+}
+
 Test(gossip_codec, handles_corrupted_bytes)
 {
     const std::string valid_bytes = encode_gossip(full_message());
