--- a/src/call/entry_base.h
+++ b/src/call/entry_base.h
@@ -193,6 +193,7 @@
                 answer response, std::vector<entry_action>& actions);
     static bool is_root(const request_fields& fields, const open_call& new_call);
     std::uint8_t importance_of(const open_call& current) const;
+    static std::string label_of(const open_call& current);
     void set_headers(const header_list& received, open_call& new_call) const;
     answer prepare(instant now, const entry_request& request, const request_fields& fields,
                    open_call& new_call);
--- a/src/call/entry_organisation.cpp
+++ b/src/call/entry_organisation.cpp
@@ -124,6 +124,15 @@
                                    kind_importance);
 }
 
+/** Returns the name of the organisation of @p current that targets get. @pre The call has a key. */
+std::string entry::label_of(const open_call& current)
+{
+    const auto& organisations = current.m_config->m_organisations;
+    const auto found = organisations.find(current.m_organisation);
+    const bool has_label = found != organisations.end() && !found->second.m_label.empty();
+    return has_label ? found->second.m_label : current.m_organisation.m_value;
+}
+
 /** Sets the headers that the target of @p new_call gets, from those @p received. The key never leaves the
  * entry, and the name of the organisation always comes from it. */
 void entry::set_headers(const header_list& received, open_call& new_call) const
@@ -141,7 +150,7 @@
         headers.push_back({std::string(dialect.m_origin), m_settings.m_service.m_value});
     }
     if (!dialect.m_organisation.empty() && new_call.m_has_key) {
-        headers.push_back({std::string(dialect.m_organisation), new_call.m_organisation.m_value});
+        headers.push_back({std::string(dialect.m_organisation), label_of(new_call)});
     }
 }
 
--- a/src/config/config_type.h
+++ b/src/config/config_type.h
@@ -61,7 +61,8 @@
 
 /** `[organisation NAME]`: an organisation whose callers send requests with one of its keys. */
 struct organisation_object {
-    organisation_name m_name;        ///< Name, as its targets get it.
+    organisation_name m_name;        ///< Name.
+    std::string m_label;             ///< Name that its targets get; empty for m_name.
     std::vector<std::string> m_keys; ///< Salted hashes of its keys, in hexadecimal.
     std::uint8_t m_priority = 3;     ///< 0 is the highest; goes before the importance of the request kind.
     double m_rate = 0.0;             ///< Requests a second over all nodes; 0 for no limit.
--- a/src/config/ini_func.h
+++ b/src/config/ini_func.h
@@ -9,9 +9,9 @@
 
 namespace waxwing {
 
-/** Limit for the length of a line, in bytes; a line must hold the hashes of all keys of an organisation, 33
- * bytes each. */
-inline constexpr std::size_t ini_line_limit = 65536;
+/** Limit for the length of a line, in bytes. A line must hold the hashes of all keys of an organisation, 33
+ * bytes each, which the operator may have written in 4 bytes each in a row of 64 KiB. */
+inline constexpr std::size_t ini_line_limit = std::size_t{1} << 20U;
 
 /** One key with its value. */
 struct ini_key {
--- a/src/config/key_type.h
+++ b/src/config/key_type.h
@@ -19,8 +19,9 @@
 
 /** Syntax of a text value. */
 enum class text_form {
-    path,     ///< Begins with `/`; visible ASCII without `?`, `#` and `;`.
-    host,     ///< A host name in lower case, without port.
+    path,     ///< Begins with `/`; visible ASCII without `?`, `#` and `;`. May contain escapes.
+    host,     ///< A host name in lower case, without port. May contain escapes.
+    label,    ///< Visible ASCII without `#` and `;`. May contain escapes.
     method,   ///< An HTTP method in capitals.
     salt,     ///< Visible ASCII without `;` and `#`, which begin comments.
     reference ///< The name of another object.
--- a/src/config/table/keys.h
+++ b/src/config/table/keys.h
@@ -20,14 +20,14 @@
     {"depth", value_at<&fleet_limits::m_depth>(), key_presence::optional, "1", "64",
      "Maximum length of a call chain; longer chains are refused as loops"},
     {"header_bytes", value_at<&fleet_limits::m_caller, &caller_limits::m_max_header_bytes>(),
-     key_presence::optional, "256", "1048576",
+     key_presence::optional, "1", "1000000000",
      "Maximum size of a caller's request line and headers, in bytes"},
     {"body_bytes", value_at<&fleet_limits::m_caller, &caller_limits::m_max_body_bytes>(),
-     key_presence::optional, "0", "67108864", "Maximum size of the body of a caller's request, in bytes"},
+     key_presence::optional, "0", "1000000000", "Maximum size of the body of a caller's request, in bytes"},
     {"request_time", value_at<&fleet_limits::m_caller, &caller_limits::m_request_timeout>(),
-     key_presence::optional, "10ms", "1h", "Time within which a caller's request must arrive"},
+     key_presence::optional, "1ms", "300h", "Time within which a caller's request must arrive"},
     {"idle_time", value_at<&fleet_limits::m_caller, &caller_limits::m_idle_timeout>(), key_presence::optional,
-     "10ms", "1h", "Callers' connections without traffic are closed after this time"},
+     "1ms", "300h", "Callers' connections without traffic are closed after this time"},
     {"key_salt", text_at<&fleet_limits::m_key_salt>(text_form::salt), key_presence::optional, "", "",
      "Salt of the hashes of the keys of organisations"},
 }};
@@ -97,7 +97,7 @@
      "Time limit of a drain"},
     {"calls", names_at<&service_object::m_calls>(), key_presence::optional, "", "",
      "Services that it may call, separated by spaces; cycles are not allowed"},
-    {"connections", value_at<&service_object::m_connections>(), key_presence::optional, "0", "100000",
+    {"connections", value_at<&service_object::m_connections>(), key_presence::optional, "0", "1000000000",
      "Connections that one target accepts; 0 uses the number that the target reports"},
 }};
 
@@ -117,11 +117,11 @@
      "Requests of greater importance are shed later"},
     {"idempotent", value_at<&kind_object::m_idempotent>(), key_presence::required, "", "",
      "Whether a request may safely run more than once"},
-    {"deadline", value_at<&kind_object::m_deadline>(), key_presence::optional, "1ms", "10m",
+    {"deadline", value_at<&kind_object::m_deadline>(), key_presence::optional, "1ms", "300h",
      "Default deadline, and the upper bound for deadlines of callers"},
-    {"objective", value_at<&kind_object::m_objective>(), key_presence::optional, "0ms", "10m",
+    {"objective", value_at<&kind_object::m_objective>(), key_presence::optional, "0ms", "300h",
      "Latency objective of answers; 0 for the deadline"},
-    {"attempts", value_at<&kind_object::m_attempts>(), key_presence::optional, "1", "100",
+    {"attempts", value_at<&kind_object::m_attempts>(), key_presence::optional, "1", "1000000000",
      "Maximum number of targets that one request is sent to"},
     {"retry", text_at<&kind_object::m_retry>(text_form::reference, object_type::retry),
      key_presence::required, "", "", "Retry policy"},
@@ -138,7 +138,9 @@
      "1000", "Weight of the fair share under overload, relative to other callers"},
 }};
 
-inline const std::array<key_info<organisation_object>, 4> organisation_keys{{
+inline const std::array<key_info<organisation_object>, 5> organisation_keys{{
+    {"label", text_at<&organisation_object::m_label>(text_form::label), key_presence::optional, "", "",
+     "Name that its targets get, if that is not a valid name of an object; `\\xHH` stands for a byte"},
     {"keys", value_at<&organisation_object::m_keys>(), key_presence::optional, "", "",
      "Hashes of its keys, separated by spaces: the first 32 hexadecimal digits of SHA-256 over key_salt, `:` "
      "and the key"},
--- a/src/config/value_func.cpp
+++ b/src/config/value_func.cpp
@@ -28,10 +28,9 @@
                                                {"ns", std::chrono::nanoseconds(1)}}};
 
 constexpr std::string_view digits = "0123456789";
-constexpr std::size_t path_limit = 255;
 constexpr std::size_t method_limit = 16;
 constexpr std::size_t salt_limit = 255;
-constexpr std::size_t host_limit = 253;           ///< Limit in bytes, which is that of the DNS.
+constexpr std::size_t escape_size = 4;            ///< Bytes of an escape.
 constexpr std::uint32_t weight_limit = 1'000'000; ///< Limit for the weight of one part of a split.
 
 /** Puts @p text in quotation marks. */
@@ -77,6 +76,76 @@
     return success();
 }
 
+/** Returns whether @p form may contain escapes. */
+bool allows_escapes(text_form form)
+{
+    return form == text_form::path || form == text_form::host || form == text_form::label;
+}
+
+bool is_visible(char byte)
+{
+    return byte > ' ' && byte < '\x7f';
+}
+
+bool is_host_byte(char byte)
+{
+    return (byte >= 'a' && byte <= 'z') || is_digit(byte) || byte == '.' || byte == '-' || byte == '_';
+}
+
+/** Returns the byte for which the escape at the beginning of @p text stands; none if there is no escape. */
+std::optional<char> escaped_byte(std::string_view text)
+{
+    if (text.size() < escape_size || text.substr(0, 2) != "\\x") {
+        return std::nullopt;
+    }
+    unsigned byte = 0;
+    constexpr int hexadecimal = 16;
+    const char* const end = text.data() + escape_size;
+    const auto [parsed_end, failure] = std::from_chars(text.data() + 2, end, byte, hexadecimal);
+    return failure == std::errc{} && parsed_end == end ? std::optional(static_cast<char>(byte))
+                                                       : std::nullopt;
+}
+
+/** Replaces the escapes in @p text. @param is_plain decides about the bytes outside escapes. @return none if
+ * one of these is not allowed. */
+template<class Predicate>
+std::optional<std::string> unescape(std::string_view text, Predicate is_plain)
+{
+    std::string value;
+    while (!text.empty()) {
+        const std::optional<char> escaped = escaped_byte(text);
+        if (!escaped && !is_plain(text.front())) {
+            return std::nullopt;
+        }
+        value += escaped.value_or(text.front());
+        text.remove_prefix(escaped ? escape_size : 1);
+    }
+    return value;
+}
+
+/** Parses a text that may contain escapes. */
+result<void> parse_escaped(std::string_view text, text_form form, std::string& value)
+{
+    const std::string_view comment_marks = form == text_form::path ? "?#;" : "#;";
+    const std::optional<std::string> plain = unescape(text, [&](char byte) {
+        return form == text_form::host ? is_host_byte(byte)
+                                       : is_visible(byte) && comment_marks.find(byte) == comment_marks.npos;
+    });
+    const bool is_empty = !plain || plain->empty();
+    if (form == text_form::host && is_empty) {
+        return fail_parse(text, "a host name in lower case");
+    }
+    if (form == text_form::path && (is_empty || plain->front() != '/')) {
+        return fail_parse(text,
+                          "a path that begins with / and contains no space, query, fragment or semicolon");
+    }
+    if (is_empty) {
+        return fail_parse(text, "visible ASCII without space, semicolon and number sign");
+    }
+    value = *plain;
+    return success();
+}
+
 /** Parses a whole number in @p range into @p value. */
 template<class Number>
 result<void> parse_integer(std::string_view text, const value_range& range, Number& value)
@@ -240,28 +309,17 @@
 
 result<void> parse_text(std::string_view text, text_form form, std::string& value)
 {
-    const auto is_visible = [](char byte) { return byte > ' ' && byte < '\x7f'; };
+    if (allows_escapes(form)) {
+        return parse_escaped(text, form, value);
+    }
     const auto is_upper = [](char byte) { return byte >= 'A' && byte <= 'Z'; };
     if (form == text_form::reference && !is_name(text)) {
         return fail_parse(text, "a name");
     }
-    const auto is_host_byte = [](char byte) {
-        return (byte >= 'a' && byte <= 'z') || is_digit(byte) || byte == '.' || byte == '-' || byte == '_';
-    };
-    if (form == text_form::host &&
-        (text.empty() || text.size() > host_limit || !std::all_of(text.begin(), text.end(), is_host_byte))) {
-        return fail_parse(text, "a host name in lower case");
-    }
     if (form == text_form::method &&
         (text.empty() || text.size() > method_limit || !std::all_of(text.begin(), text.end(), is_upper))) {
         return fail_parse(text, "an HTTP method in capitals");
     }
-    if (form == text_form::path &&
-        (text.empty() || text.front() != '/' || text.size() > path_limit ||
-         !std::all_of(text.begin(), text.end(), is_visible) || text.find_first_of("?#;") != text.npos)) {
-        return fail_parse(text,
-                          "a path that begins with / and contains no space, query, fragment or semicolon");
-    }
     if (form == text_form::salt &&
         (text.empty() || text.size() > salt_limit || !std::all_of(text.begin(), text.end(), is_visible) ||
          text.find_first_of(";#") != text.npos)) {
@@ -271,6 +329,29 @@
     return success();
 }
 
+std::string write_text(const std::string& value, text_form form)
+{
+    if (!allows_escapes(form)) {
+        return value;
+    }
+    constexpr std::string_view hexadecimal_digits = "0123456789abcdef";
+    constexpr std::string_view marks = "\\?#;";
+    std::string text;
+    for (const char byte : value) {
+        const bool is_plain =
+            form == text_form::host ? is_host_byte(byte) : is_visible(byte) && marks.find(byte) == marks.npos;
+        if (is_plain) {
+            text += byte;
+            continue;
+        }
+        const auto code = static_cast<unsigned char>(byte);
+        text += "\\x";
+        text += hexadecimal_digits[code >> 4U];
+        text += hexadecimal_digits[code & 0xFU];
+    }
+    return text;
+}
+
 std::string write_value(bool value)
 {
     return value ? "yes" : "no";
--- a/src/config/value_func.h
+++ b/src/config/value_func.h
@@ -50,9 +50,13 @@
  * Reads hashes of keys. An error does not quote the text, which may be a key that was not hashed. */
 result<void> parse_value(std::string_view text, const value_range& range, std::vector<std::string>& value);
 
-/** Checks that @p text has the syntax @p form and copies it to @p value, which is left unchanged on error. */
+/** Checks that @p text has the syntax @p form and copies it to @p value, which is left unchanged on error.
+ * Escapes of the form `\xHH` are replaced by the bytes that they stand for, where the form allows them. */
 result<void> parse_text(std::string_view text, text_form form, std::string& value);
 
+/** Formats @p value so that parse_text can parse it as @p form. */
+std::string write_text(const std::string& value, text_form form);
+
 /** Formats @p value so that parse_value can parse it. */
 std::string write_value(bool value);
 /** @copydoc write_value */
@@ -96,8 +100,16 @@
 std::string write_key(const key_info<Object>& key, const Object& object)
 {
     Object copy = object;
-    return std::visit([&](const auto& field) { return write_value(std::as_const(field.m_get(copy))); },
-                      key.m_field);
+    return std::visit(
+        [&](const auto& field) {
+            if constexpr (std::is_same_v<std::decay_t<decltype(field)>, text_field<Object>>) {
+                return write_text(field.m_get(copy), field.m_form);
+            }
+            else {
+                return write_value(std::as_const(field.m_get(copy)));
+            }
+        },
+        key.m_field);
 }
 
 } // namespace waxwing
--- a/src/member/gossip_codec.cpp
+++ b/src/member/gossip_codec.cpp
@@ -187,7 +187,7 @@
     record.m_service = {reader.name()};
     record.m_target = reader.choice(target_state::down);
     record.m_slots = static_cast<std::uint32_t>(reader.number(UINT32_MAX));
-    record.m_revision = {reader.number()};
+    record.m_revision = {reader.number(UINT64_MAX)};
     if (!reader.is_valid() || record.m_node.empty() || record.m_gossip.m_port == 0) {
         return std::nullopt;
     }
@@ -213,7 +213,7 @@
     revision_note note;
     note.m_node = {reader.name()};
     note.m_incarnation = {reader.number()};
-    note.m_revision = {reader.number()};
+    note.m_revision = {reader.number(UINT64_MAX)};
     return reader.is_valid() ? std::optional<gossip_item>(std::move(note)) : std::nullopt;
 }
 
--- a/src/node/control_task.cpp
+++ b/src/node/control_task.cpp
@@ -180,6 +180,14 @@
                                       {"reason", "the revision requires a newer version"}});
 }
 
+std::optional<std::string> control_task::refusal() const
+{
+    if (m_spread.in_force() < m_spread.unreadable()) {
+        return "revision " + std::to_string(m_spread.unreadable().m_value) + " requires a newer version";
+    }
+    return m_storage.head_refusal();
+}
+
 void control_task::apply(member_action&& action)
 {
     std::visit(overloaded{
--- a/src/node/control_task_base.h
+++ b/src/node/control_task_base.h
@@ -55,6 +55,10 @@
     /** Returns the revision in force and its set; the set is null while no revision is in force. */
     const revision_in_force& in_force() const { return m_in_force; }
 
+    /** Returns why the newest revision is not in force although this node has got it; none if that is not so.
+     */
+    std::optional<std::string> refusal() const;
+
     /** Returns the platform storage, for publications. */
     storage& store() { return m_storage; }
 
--- a/src/node/operators_task.cpp
+++ b/src/node/operators_task.cpp
@@ -179,6 +179,7 @@
     node_metrics.set("waxwing_threshold", {}, load.m_threshold.m_value);
     const revision in_force = m_tasks.m_control.in_force().m_info.m_revision;
     node_metrics.set("waxwing_revision", {}, static_cast<double>(in_force.m_value));
+    node_metrics.set("waxwing_revision_refused", {}, m_tasks.m_control.refusal() ? 1.0 : 0.0);
     const entry_counters& entries = m_tasks.m_calls.entry_state().counters();
     node_metrics.set("waxwing_attempts", {}, static_cast<double>(entries.m_attempts));
     node_metrics.set("waxwing_retries", {}, static_cast<double>(entries.m_retries));
@@ -250,6 +251,7 @@
 void operators_task::get_status(const http_request& request)
 {
     const revision_in_force& configuration = m_tasks.m_control.in_force();
+    const std::optional<std::string> refusal = m_tasks.m_control.refusal();
     answer_json(request.m_exchange, 200,
                 {{"node", m_settings.m_name.m_value},
                  {"life", m_tasks.m_state_machine.state()},
@@ -257,6 +259,7 @@
                  {"service", m_tasks.m_target.target().m_service.m_value},
                  {"revision", configuration.m_info.m_revision.m_value},
                  {"digest", configuration.m_info.m_digest},
+                 {"refused", refusal ? json(*refusal) : json()},
                  {"calls", status_of_calls()},
                  {"members", status_of_members()}});
 }
--- a/src/storage/storage.h
+++ b/src/storage/storage.h
@@ -105,6 +105,9 @@
      * @p key or a check of it. @pre the row has a watch. */
     virtual void watch_contacts(const std::string& key, contact_handler on_contact) = 0;
 
+    /** Returns why the newest state of the head row that was read can't be used; none if it can. */
+    virtual std::optional<std::string> head_refusal() const = 0;
+
     /** Stores the object @p name; storing the same bytes again is harmless. */
     virtual void put_object(const std::string& name, std::string bytes, handler<bool> on_done) = 0;
 
--- a/test/announcement_task_test.cpp
+++ b/test/announcement_task_test.cpp
@@ -56,6 +56,7 @@
     void watch_restorations(std::function<void()>) override {}
     void watch_confirmations(const std::string&, confirmation_handler) override {}
     void watch_contacts(const std::string&, contact_handler) override {}
+    std::optional<std::string> head_refusal() const override { return std::nullopt; }
     void put_object(const std::string&, std::string, handler<bool>) override {}
     void get_object(const std::string&, handler<std::optional<std::string>>) override {}
 
--- a/test/gossip_codec_test.cpp
+++ b/test/gossip_codec_test.cpp
@@ -126,6 +126,16 @@
     cr_assert(decoded.m_contact_ages->m_elected_ms == max_contact_age_ms);
 }
 
+/** The operator chooses the versions; one above 2^63 made the messages of all nodes invalid. */
+Test(gossip_codec, a_revision_of_64_bits_round_trips)
+{
+    gossip_message message = full_message();
+    message.m_from->m_revision = {UINT64_MAX};
+    message.m_items.emplace_back(revision_note{{"node-3"}, {5}, {UINT64_MAX}});
+    const auto decoded = decode_gossip(encode_gossip(message));
+    cr_assert(decoded.has_value() && decoded.value().m_from->m_revision.m_value == UINT64_MAX);
+}
+
 Test(gossip_codec, handles_corrupted_bytes)
 {
     const std::string valid_bytes = encode_gossip(full_message());
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -7,6 +7,9 @@
 #include "platform/registry_func.h"
 
 #include <criterion/criterion.h>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <rapidcheck.h>
 
 using namespace waxwing;
 
@@ -180,3 +183,172 @@
     change = apply_settings(settings, current);
     cr_assert(!change.m_applied && change.m_needs_restart && current.m_name.empty());
 }
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t row_limit = 65'536; ///< Bytes of a row of the platform's store.
+
+/** Returns a configuration with the given resources. */
+json config_of(std::uint64_t version, const json& resources)
+{
+    return {{"version", version}, {"baseVersion", 0}, {"resources", resources}};
+}
+
+json resource(const char* type, const std::string& name, const json& spec)
+{
+    return {{"typeUrl", type}, {"metadata", {{"name", name}}}, {"spec", spec}};
+}
+
+json tenant(const std::string& name, const json& keys)
+{
+    return resource("tenants", name, {{"apiKeys", keys}, {"ratePerS", 0}, {"burst", 0}});
+}
+
+/** Translates @p document and reads what a node then puts in force. @return none if either refuses it. */
+std::optional<config_set> accepted_set(const json& document)
+{
+    const auto config = read_operator_config(document.dump());
+    if (config.has_error()) {
+        std::cerr << config.error().m_text << "\n";
+        return std::nullopt;
+    }
+    const std::string text = write_config(config.value().m_set);
+    const auto set = read_config({config_file{"operator", text}});
+    if (set.has_error()) {
+        std::cerr << to_string(set.error().front()) << "\n";
+        return std::nullopt;
+    }
+    return write_config(set.value()) == text ? std::optional(set.value()) : std::nullopt;
+}
+
+/** Generates texts that rows can hold and that configuration files use in another meaning. */
+rc::Gen<std::string> odd_texts()
+{
+    const auto pieces = rc::gen::element<std::string>(
+        "a", "Z", "7", " ", "\n", "\t", "\x7f", "\xc3\xa9", "=", "[", "]", ";", "#", "\\", "\\x41", "%", "\"",
+        "/", "?", ":", ".", "-", "_", "id-", std::string(80, 'n'), std::string(400, 'p'));
+    return rc::gen::map(rc::gen::container<std::vector<std::string>>(pieces), [](const auto& parts) {
+        std::string text = "t";
+        for (const std::string& part : parts) {
+            text += part;
+        }
+        return text;
+    });
+}
+
+/** Generates numbers of all sizes. */
+rc::Gen<double> odd_numbers()
+{
+    return rc::gen::element(0.4, 0.6, 1.0, 99.5, 255.0, 1e3, 6.7e7, 1e8, 1e9, 1e12, 1.9e19, 1e300);
+}
+
+/** Returns the organisation that holds @p key in @p set as its targets know it; empty if there is none. */
+std::string holder_of(const config_set& set, const std::string& key)
+{
+    const organisation_index index(std::make_shared<const config_set>(set));
+    const organisation_object* const holder = index.find(key);
+    if (holder == nullptr) {
+        return {};
+    }
+    return holder->m_label.empty() ? holder->m_name.m_value : holder->m_label;
+}
+
+} // namespace
+
+/** The store accepts only valid configurations, so a node that refuses one is behind for good. */
+Test(operator_config, versions_that_the_store_accepts_were_refused)
+{
+    cr_assert(rc::check("any names, paths, sizes and times of a row can be put in force", [] {
+        const std::string service = *odd_texts();
+        const std::string other_service = *odd_texts();
+        const std::string host = "h" + *odd_texts();
+        const std::string prefix = "/" + *odd_texts() + "/";
+        const std::string key = *odd_texts();
+        const json route{{"host", host},
+                         {"prefix", prefix},
+                         {"kind", "safe"},
+                         {"timeoutMs", *odd_numbers()},
+                         {"targetLatencyMs", *odd_numbers()},
+                         {"priority", *odd_numbers()},
+                         {"maxAttempts", *odd_numbers()},
+                         {"service", service}};
+        const json split{{"host", host},
+                         {"prefix", "/s/"},
+                         {"kind", "unsafe"},
+                         {"timeoutMs", *odd_numbers()},
+                         {"trafficSplit",
+                          {{{"service", service}, {"weight", *odd_numbers()}},
+                           {{"service", other_service}, {"weight", *rc::gen::element(0.0, 0.4, 1e12)}}}}};
+        const json resources{
+            resource("routes", *odd_texts(), route), resource("routes", "z" + *odd_texts(), split),
+            resource("services", service, {{"healthPath", prefix}, {"maxConnections", *odd_numbers()}}),
+            resource("tenants", *odd_texts(),
+                     {{"apiKeys", {key, ""}},
+                      {"ratePerS", *odd_numbers()},
+                      {"burst", *odd_numbers()},
+                      {"priority", *odd_numbers()}}),
+            resource("limits", "limits",
+                     {{"maxHeaderBytes", *odd_numbers()},
+                      {"maxBodyBytes", *odd_numbers()},
+                      {"headerTimeoutMs", *odd_numbers()},
+                      {"idleTimeoutMs", *odd_numbers()}})};
+        const std::optional<config_set> accepted =
+            accepted_set(config_of(*rc::gen::inRange<std::uint64_t>(1, UINT64_MAX), resources));
+        RC_ASSERT(accepted.has_value());
+        const config_set& set = *accepted;
+        const bool has_prefix = std::any_of(set.m_kinds.begin(), set.m_kinds.end(), [&](const auto& item) {
+            return item.second.m_path_prefix == prefix;
+        });
+        RC_ASSERT(has_prefix);
+        RC_ASSERT(!holder_of(set, key).empty());
+    }));
+}
+
+/** review/13: a version with 1,990 keys of one tenant was refused, and so was the next, which withdrew a key.
+ */
+Test(operator_config, keys_that_a_row_can_hold_were_too_many)
+{
+    json keys = json::array();
+    std::size_t size = config_of(2, json::array({tenant("depot", keys)})).dump().size();
+    for (int number = 0; size < row_limit - 20; number += 7) {
+        keys.push_back(std::to_string(number));
+        size += keys.back().dump().size() + 1;
+    }
+    const std::string first_key = keys.front();
+    const std::string last_key = keys.back();
+    cr_assert(keys.size() > 5'000);
+    keys.erase(keys.begin());
+    const std::optional<config_set> set = accepted_set(config_of(3, json::array({tenant("depot", keys)})));
+    cr_assert(set.has_value());
+    cr_assert(holder_of(*set, last_key) == "depot");
+    cr_assert(holder_of(*set, first_key).empty());
+}
+
+Test(operator_config, many_tenants_with_names_of_any_form_hold_their_keys)
+{
+    json resources = json::array();
+    for (int number = 0; config_of(2, resources).dump().size() < row_limit - 200; ++number) {
+        const std::string text = std::to_string(number);
+        resources.push_back(tenant("Depot & Sons " + text, {"key " + text, "k" + text}));
+    }
+    const std::optional<config_set> set = accepted_set(config_of(2, resources));
+    cr_assert(set.has_value());
+    const int last = static_cast<int>(resources.size()) - 1;
+    for (const int number : {0, last / 2, last}) {
+        const std::string text = std::to_string(number);
+        cr_assert(holder_of(*set, "k" + text) == "Depot & Sons " + text);
+        cr_assert(holder_of(*set, "key " + text) == "Depot & Sons " + text);
+    }
+}
+
+Test(operator_config, weights_that_are_fractions_keep_their_proportions)
+{
+    const auto config = read_operator_config(
+        config_row(route(R"("host":"h","prefix":"/p/","kind":"safe","timeoutMs":900,"priority":2,)"
+                         R"("trafficSplit":[{"service":"a1","weight":0.6},{"service":"b2","weight":0.4}])")));
+    const std::vector<split_part>& split = config.value().m_set.m_kinds.at(kind_name{"r-1"}).m_split;
+    const double ratio = static_cast<double>(split[0].m_weight) / split[1].m_weight;
+    cr_assert(std::abs(ratio - 1.5) < 1e-4);
+}
