Fix: a new process does not believe a late announcement of a target that has left

Cause: what the table lacks is held in memory of other nodes. With all processes ended, or with the row lost in a restoration that no holder had reason to know of, the next process read the row without an error and believed whatever was announced. Three announcements in 2.5 s, asked for where the row could not be read, would pass as well if all of them are late. Ruled out: the row (as before the outage) and the order of announcements (right for what it knew).

Change: src/member/announcement_trust decides. Announcements are believed if the row shows that there was no earlier process (each writes an empty one), if a node that must hold what the table lacks was running 10 s before and knows the present era of the store, or if the target started with the process. Any other target is answered with the address of a port drawn at random, which only one that runs can use next; one that ignores the address is believed 10 s after the start.

--- a/src/events/table/events.h
+++ b/src/events/table/events.h
@@ -89,8 +89,9 @@
      "A new revision of the configuration is in force."},
     {501, severity::error, "config-refused", "revision reason",
      "This version can't read an accepted revision; the previous one stays in force. Upgrade the node."},
-    {502, severity::info, "watch-changed", "watching",
-     "This node starts or stops watching the configuration in the platform's table for its data centre."},
+    {502, severity::info, "watch-changed", "watching substitute",
+     "This node starts or stops watching the configuration in the platform's table for its data centre, or "
+     "in place of the nodes that do so."},
     {503, severity::warning, "watch-failed", "reason",
      "The watch of the configuration was interrupted; it reads the row again, with a growing delay while "
      "calls "
--- a/src/member/announcement_type.h
+++ b/src/member/announcement_type.h
@@ -26,7 +26,8 @@
     incarnation m_incarnation;                     ///< Start time of that process; zero if not announced.
     std::uint64_t m_sequence = 0;                  ///< Increases with each announcement of one incarnation.
     target_intent m_intent = target_intent::serve; ///< Whether it accepts calls.
-    duration m_warm_up_remaining{};                ///< Remaining time for which it is slow after its start.
+    bool m_is_redirected = false;   ///< Whether it arrived where only this process has asked for it.
+    duration m_warm_up_remaining{}; ///< Remaining time for which it is slow after its start.
 };
 
 /** How an announcement relates to the earlier ones. */
--- a/src/member/departure.cpp
+++ b/src/member/departure.cpp
@@ -1,6 +1,7 @@
 /** @file departure.cpp Departures of targets as JSON in the platform's table, [[id, start time], ...] with a
  * third field, true, if the time is a bound, and as CBOR in messages: [0, generation, departures], [1,
- * generation, is stored] and [2, departures]. */
+ * generation, is stored] and [2, departures, age, era], without the last field if there is no era, and
+ * without the last two if there is no memory. */
 #include "member/departure_type.h"
 
 #include <nlohmann/json.hpp>
@@ -24,6 +25,7 @@
 constexpr std::uint64_t offer_type = 0;
 constexpr std::uint64_t receipt_type = 1;
 constexpr std::uint64_t reminder_type = 2;
+constexpr std::size_t reminder_fields = 4;
 
 json to_json(const departure_list& departures)
 {
@@ -54,11 +56,11 @@
     return true;
 }
 
-/** Reads the departures of @p items. @return none if one is invalid, or if there is none. */
+/** Reads the departures of @p items. @return none if one is invalid. */
 std::optional<departure_list> read_departures(const json& items)
 {
     departure_list departures;
-    const bool is_valid = items.is_array() && !items.empty() && items.size() <= departure_list::max_size &&
+    const bool is_valid = items.is_array() && items.size() <= departure_list::max_size &&
                           std::all_of(items.begin(), items.end(),
                                       [&](const json& fields) { return read_departure(fields, departures); });
     return is_valid ? std::optional(departures) : std::nullopt;
@@ -76,7 +78,37 @@
 
 json to_fields(const departure_reminder& message)
 {
-    return json::array({reminder_type, to_json(message.m_departures)});
+    json fields = json::array({reminder_type, to_json(message.m_departures)});
+    if (message.m_memory) {
+        fields.push_back(
+            static_cast<std::uint64_t>(std::max<std::int64_t>(0, to_milliseconds(message.m_memory->m_age))));
+        if (message.m_memory->m_era) {
+            fields.push_back(*message.m_memory->m_era);
+        }
+    }
+    return fields;
+}
+
+/** Reads a reminder. @return none if it is invalid. */
+std::optional<departure_reminder> read_reminder(const json& fields)
+{
+    constexpr std::uint64_t max_age_ms = 1'000'000'000'000;
+    const std::optional<departure_list> departures = read_departures(fields[1]);
+    const bool are_numbers = std::all_of(fields.begin() + 2, fields.end(),
+                                         [](const json& field) { return field.is_number_unsigned(); });
+    if (!departures || !are_numbers || fields.size() > reminder_fields) {
+        return std::nullopt;
+    }
+    departure_reminder reminder{*departures, std::nullopt};
+    if (fields.size() > 2) {
+        keeper_memory& memory = reminder.m_memory.emplace();
+        memory.m_age =
+            std::chrono::milliseconds(std::min<std::uint64_t>(fields[2].get<std::uint64_t>(), max_age_ms));
+    }
+    if (fields.size() == reminder_fields) {
+        reminder.m_memory->m_era = fields[3].get<std::uint64_t>();
+    }
+    return reminder;
 }
 
 } // namespace
@@ -164,9 +196,9 @@
         return decode_error;
     }
     const auto type = fields[0].get<std::uint64_t>();
-    if (type == reminder_type && fields.size() == 2) {
-        const std::optional<departure_list> departures = read_departures(fields[1]);
-        return departures ? result<departure_message>(departure_reminder{*departures}) : decode_error;
+    if (type == reminder_type) {
+        std::optional<departure_reminder> reminder = read_reminder(fields);
+        return reminder ? result<departure_message>(std::move(*reminder)) : decode_error;
     }
     if (fields.size() != 3 || !fields[1].is_number_unsigned()) {
         return decode_error;
@@ -176,7 +208,7 @@
         return departure_message(departure_receipt{generation, fields[2].get<bool>()});
     }
     const std::optional<departure_list> departures = read_departures(fields[2]);
-    if (type != offer_type || !departures) {
+    if (type != offer_type || !departures || departures->items().empty()) {
         return decode_error;
     }
     return departure_message(departure_offer{generation, *departures});
--- a/src/member/departure_type.h
+++ b/src/member/departure_type.h
@@ -4,6 +4,7 @@
 
 #include "base/base.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -76,9 +77,16 @@
     bool m_is_stored = false;       ///< Whether the table contains the list; if not, it is held in memory.
 };
 
+/** How far the memory of a node reaches that holds departures of others. */
+struct keeper_memory {
+    duration m_age{};                   ///< For how long it has been running and has known m_era.
+    std::optional<std::uint64_t> m_era; ///< Era of the store that it knows; none if it names none.
+};
+
 /** To a new process of a node: the departures that an earlier one had offered. */
 struct departure_reminder {
-    departure_list m_departures; ///< The list.
+    departure_list m_departures;           ///< The list; may be empty.
+    std::optional<keeper_memory> m_memory; ///< None if the sender need not hold departures of the node.
 };
 
 /** A control message of the topic `departure`. */
--- a/src/member/member.h
+++ b/src/member/member.h
@@ -3,6 +3,7 @@
 #define WAXWING_MEMBER_MEMBER_H
 
 #include "member/announcement_streak_base.h"
+#include "member/announcement_trust_base.h"
 #include "member/announcement_type.h"
 #include "member/departure_type.h"
 #include "member/member_type.h"
--- a/src/node/announcement_task.cpp
+++ b/src/node/announcement_task.cpp
@@ -15,10 +15,10 @@
 constexpr duration retry_interval = std::chrono::seconds(1);
 /** Time that a write may take before other nodes are asked to hold a departure. */
 constexpr duration offer_delay = std::chrono::milliseconds(200);
+/** Time in which all nodes that are asked at first have to hold a departure. */
+constexpr duration all_holders_duration = std::chrono::seconds(2);
 /** Time in which only the table counts, as it outlives all processes at once. */
 constexpr duration table_preference_duration = std::chrono::milliseconds(500);
-/** Nodes that have to hold a departure, or all that are asked if there are fewer. */
-constexpr std::size_t min_holders = 2;
 
 } // namespace
 
@@ -29,8 +29,9 @@
       m_writer(loop, platform_storage, self, m_random(),
                {[this](const departure_list& written) { on_written(written); },
                 [this](const std::string& reason) { on_write_failed(reason); }}),
-      m_generation(m_random() / 2), m_written_generation(m_generation),
-      m_read_timer(loop, [this] { read(); }), m_offer_timer(loop, [this] { offer(); }),
+      m_trust(event_loop::now(), event_loop::wall_now()), m_generation(m_random() / 2),
+      m_written_generation(m_generation), m_read_timer(loop, [this] { read(); }),
+      m_mark_timer(loop, [this] { mark_row(); }), m_offer_timer(loop, [this] { offer(); }),
       m_sweep_timer(loop, [this] { sweep(); })
 {
 }
@@ -65,10 +66,11 @@
 /** Passes @p announcement on, or holds it until the first read has ended. */
 void announcement_task::receive(const target_announcement& announcement)
 {
-    if (!m_is_holding) {
-        pass_on(announcement);
-        return;
-    }
+    m_is_holding ? hold(announcement) : pass_on(announcement);
+}
+
+void announcement_task::hold(const target_announcement& announcement)
+{
     if (m_held.size() == max_held) {
         m_held.pop_front();
     }
@@ -108,6 +110,21 @@
         restore(reminder.m_departures);
         on_list_changed();
     }
+    if (reminder.m_memory && !m_trust.is_established()) {
+        m_trust.on_keeper_memory(event_loop::now(), *reminder.m_memory);
+        on_trust_established();
+    }
+}
+
+/** Passes on what has been held for want of trust, if there is trust now. */
+void announcement_task::on_trust_established()
+{
+    if (!m_trust.is_established() || m_is_holding) {
+        return;
+    }
+    for (const target_announcement& announcement : std::exchange(m_held, {})) {
+        m_receivers.m_on_announcement(announcement);
+    }
 }
 
 void announcement_task::read()
@@ -126,10 +143,16 @@
         return;
     }
     m_is_failing = false;
-    m_is_verified = m_is_verified || m_is_holding;
+    if (!std::exchange(m_was_read, true)) {
+        const std::optional<store_era> era = m_storage.current_era();
+        m_trust.on_first_read(row.value().has_value(), era ? std::optional(era->m_number) : std::nullopt);
+    }
     if (!has_changed()) {
         m_writer.set_row(row.value());
     }
+    if (!row.value()) {
+        m_mark_timer.set(retry_delay() + retry_interval);
+    }
     if (row.value()) {
         const result<departure_list> departures = decode_departures(row.value()->m_value);
         if (departures.has_error()) {
@@ -145,6 +168,25 @@
     pass_held_on();
 }
 
+/** Writes an empty row, unless a departure has been written, which tells the next process that there was an
+ * earlier one. */
+void announcement_task::mark_row()
+{
+    if (has_changed()) {
+        return;
+    }
+    table_transaction transaction;
+    transaction.m_checks.push_back({m_key, row_version{}});
+    transaction.m_writes.push_back({m_key, encode_departures({})});
+    m_storage.commit(std::move(transaction), [this](const result<table_commit>& outcome) {
+        if (outcome.has_error()) {
+            m_mark_timer.set(retry_delay() + retry_interval);
+            return;
+        }
+        m_writer.rewrite(); // The version of the row that it knows is no longer the last one.
+    });
+}
+
 /** Passes on @p departures, which an earlier process acknowledged. */
 void announcement_task::restore(const departure_list& departures)
 {
@@ -171,23 +213,23 @@
 
 void announcement_task::pass_on(const target_announcement& announcement)
 {
-    if (announcement.m_intent != target_intent::serve || is_usable(announcement)) {
+    if (announcement.m_intent != target_intent::serve || m_trust.is_established()) {
         m_receivers.m_on_announcement(announcement);
+        return;
     }
-}
-
-/** Returns whether @p announcement cannot be a late one of a target whose departure was acknowledged by an
- * earlier process. */
-bool announcement_task::is_usable(const target_announcement& announcement)
-{
-    m_is_verified = m_is_verified || m_streak.extend(event_loop::now(), announcement);
-    return m_is_verified;
+    if (!m_trust.take(event_loop::now(), announcement)) {
+        hold(announcement);
+        return;
+    }
+    m_held.clear(); // Older than this one, which proves that the target runs.
+    m_receivers.m_on_announcement(announcement);
 }
 
 /** Writes the list, and asks other nodes to hold it if that takes long. */
 void announcement_task::on_list_changed()
 {
     ++m_generation;
+    m_asked_count = keeper_count;
     m_changed_at = event_loop::now();
     m_offer_timer.set(offer_delay);
     m_writer.write(m_departures);
@@ -212,14 +254,18 @@
     }
 }
 
-/** Offers the list to the keepers that have not confirmed it. */
+/** Offers the list to the keepers that have not confirmed it, and to one more each time while nobody has
+ * written it: the table may turn away those that were asked before. */
 void announcement_task::offer()
 {
-    for (const node_id& keeper : m_receivers.m_keepers()) {
+    for (const node_id& keeper : m_receivers.m_keepers(m_asked_count)) {
         if (m_receipts[keeper].m_generation < m_generation) {
             m_receivers.m_send(keeper, departure_offer{m_generation, m_departures});
         }
     }
+    if (!is_stored(m_generation)) {
+        m_asked_count = std::min(m_asked_count + 1, max_keeper_count);
+    }
     m_offer_timer.set(retry_delay());
 }
 
@@ -268,15 +314,19 @@
            });
 }
 
-/** Returns whether enough other nodes hold the list @p generation. */
+/** Returns whether enough other nodes hold the list @p generation. All that are asked at first have to, so
+ * that any of them can tell the next process that it knows of all departures. One that doesn't answer must
+ * not keep the target from its acknowledgement for long. */
 bool announcement_task::is_held(std::uint64_t generation) const
 {
-    const std::vector<node_id> keepers = m_receivers.m_keepers();
+    const std::vector<node_id> keepers = m_receivers.m_keepers(keeper_count);
     const auto holders = std::count_if(keepers.begin(), keepers.end(), [&](const node_id& keeper) {
         const auto receipt = m_receipts.find(keeper);
         return receipt != m_receipts.end() && generation <= receipt->second.m_generation;
     });
-    return !keepers.empty() && static_cast<std::size_t>(holders) >= std::min(min_holders, keepers.size());
+    const bool is_late = event_loop::now() - m_changed_at >= all_holders_duration;
+    const std::size_t required = is_late ? std::min(min_holders, keepers.size()) : keepers.size();
+    return !keepers.empty() && static_cast<std::size_t>(holders) >= required;
 }
 
 duration announcement_task::retry_delay()
--- a/src/node/announcement_task_base.h
+++ b/src/node/announcement_task_base.h
@@ -22,9 +22,8 @@
  * nodes hold it. The next process of the node could not tell a late announcement of a target that has left
  * from a current one.
  *
- * At the start the table is read before any announcement is passed on. If it does not respond, an incarnation
- * is passed on once it has announced itself for as long as only a running target does, since a departure of
- * it may have been acknowledged that this process cannot know. Thread safety: the loop's thread only.
+ * At the start the table is read before any announcement is passed on, and announcement_trust decides whether
+ * this process knows all departures that earlier ones acknowledged. Thread safety: the loop's thread only.
  */
 class announcement_task {
 public:
@@ -36,8 +35,8 @@
         std::function<void(const target_announcement&)> m_on_announcement; ///< An announcement applies now.
         /** An earlier process of this node acknowledged the departure. */
         std::function<void(const target_departure&)> m_on_earlier_departure;
-        /** Returns the other nodes that have to hold departures, at most keeper_count. */
-        std::function<std::vector<node_id>()> m_keepers;
+        /** Returns the other nodes that have to hold departures, at most the given number. */
+        std::function<std::vector<node_id>(std::size_t count)> m_keepers;
         /** Sends a message of the topic `departure`. */
         std::function<void(const node_id&, const departure_message&)> m_send;
     };
@@ -45,8 +44,15 @@
     /** Longest time for which an acknowledgement is delayed. Targets wait for 1 s. */
     static constexpr duration acknowledgement_timeout = std::chrono::milliseconds(700);
 
-    /** Other nodes that are asked to hold a departure. */
-    static constexpr std::size_t keeper_count = 3;
+    /** Other nodes that are asked to hold a departure at first. */
+    static constexpr std::size_t keeper_count = 4;
+
+    /** Nodes that are asked while none of those before can write it to the table. */
+    static constexpr std::size_t max_keeper_count = 9;
+
+    /** Nodes that have to hold a departure if not all that are asked at first do so in time, or all that are
+     * alive if there are fewer. */
+    static constexpr std::size_t min_holders = 2;
 
     /** @param self node whose target announces itself. @pre @p loop and @p platform_storage outlive the task.
      */
@@ -74,6 +80,9 @@
     /** Records the departures that an earlier process of this node had offered to another node. */
     void on_reminder(const departure_reminder& reminder);
 
+    /** Returns whether announcements are used as they come. If not, the target has to prove that it runs. */
+    bool trusts_target() const { return m_trust.is_established(); }
+
 private:
     /** A departure that is not acknowledged yet. */
     struct waiting_departure {
@@ -88,13 +97,15 @@
     void receive(const target_announcement& announcement);
     void pass_held_on();
     void pass_on(const target_announcement& announcement);
-    bool is_usable(const target_announcement& announcement);
+    void hold(const target_announcement& announcement);
+    void on_trust_established();
     void on_list_changed();
     void on_written(const departure_list& written);
     void on_write_failed(const std::string& reason);
     void offer();
     void sweep();
     void acknowledge_kept();
+    void mark_row();
     /** Returns whether this process has recorded a departure. */
     bool has_changed() const { return m_changed_at != instant{}; }
     bool is_stored(std::uint64_t generation) const;
@@ -106,10 +117,12 @@
     random_source m_random;
     handlers m_receivers;
     departure_writer m_writer;
-    bool m_is_holding = true;               ///< Whether announcements wait for the first read.
-    bool m_is_verified = false;             ///< Whether the first read succeeded.
-    announcement_streak m_streak;           ///< Of the incarnation that is not verified.
-    std::deque<target_announcement> m_held; ///< Announcements that wait, oldest first.
+    bool m_is_holding = true;   ///< Whether announcements wait for the first read.
+    bool m_was_read = false;    ///< Whether the row was read.
+    announcement_trust m_trust; ///< Whether targets may be used.
+    std::deque<target_announcement>
+        m_held; ///< Announcements that wait for the read or for trust, oldest first.
+    std::size_t m_asked_count = keeper_count; ///< Nodes that are asked to hold the departures.
     std::vector<waiting_departure> m_waiting;
     departure_list m_departures; ///< All that is known.
     /** Of m_departures; increases with each change. It begins at a random number, so that receipts of an
@@ -120,6 +133,7 @@
     std::map<node_id, departure_receipt> m_receipts; ///< Latest answer of each keeper.
     bool m_is_failing = false;                       ///< Whether the last read or write failed.
     timer m_read_timer;                              ///< Repeats a failed read.
+    timer m_mark_timer;                              ///< Writes the row of a new node.
     timer m_offer_timer; ///< Repeats the offers while the table lacks a departure.
     timer m_sweep_timer; ///< Ends the waits in m_waiting.
 };
--- a/src/node/control_task_base.h
+++ b/src/node/control_task_base.h
@@ -60,7 +60,7 @@
     std::optional<std::string> refusal() const;
 
     /** Returns the platform storage, for publications. */
-    storage& store() { return m_storage; }
+    storage& store() const { return m_storage; }
 
     /** Returns the counters of the datagrams. */
     const datagram_counters& counters() const { return m_datagrams->counters(); }
--- a/src/node/departure_keeper.cpp
+++ b/src/node/departure_keeper.cpp
@@ -63,11 +63,13 @@
     m_send(node, departure_receipt{held.m_generation, true});
 }
 
-void departure_keeper::on_new_process(const node_id& node)
+void departure_keeper::on_new_process(const node_id& node, const std::optional<keeper_memory>& memory)
 {
     const auto position = m_lists.find(node);
-    if (position != m_lists.end()) {
-        m_send(node, departure_reminder{position->second.m_departures});
+    if (position != m_lists.end() || memory) {
+        m_send(node,
+               departure_reminder{
+                   position != m_lists.end() ? position->second.m_departures : departure_list{}, memory});
     }
 }
 
--- a/src/node/departure_keeper_base.h
+++ b/src/node/departure_keeper_base.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace waxwing {
 
@@ -32,8 +33,9 @@
     /** Handles an offer of @p node. */
     void on_offer(const node_id& node, const departure_offer& offer);
 
-    /** Records that a new process of @p node has joined. */
-    void on_new_process(const node_id& node);
+    /** Records that a new process of @p node has joined. @param memory is told to it; none if this node need
+     * not hold its departures. */
+    void on_new_process(const node_id& node, const std::optional<keeper_memory>& memory);
 
     /** Writes everything again, as the platform has restored its table from an older copy. */
     void on_table_restored();
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -98,7 +98,7 @@
           loop, environment.m_storage, m_settings.m_name, seed + 300,
           {[this](const target_announcement& announcement) { m_target.announce(announcement); },
            [this](const target_departure& departure) { m_target.restore_departure(departure); },
-           [this] { return departure_keepers(); },
+           [this](std::size_t count) { return departure_keepers(count); },
            [this](const node_id& peer, const departure_message& message) { send_departure(peer, message); }}),
       m_departure_keeper(
           loop, environment.m_storage, seed + 400,
@@ -108,7 +108,7 @@
       m_peers(loop, [this](link_event&& event) { on_link_event(std::move(event)); }),
       m_operators(loop, m_settings,
                   node_tasks{m_calls, m_target, m_control, m_peers, m_metrics, m_state_machine}, seed + 200),
-      m_drain_timer(loop, [this] { check_drained(); }),
+      m_started_at(event_loop::now()), m_drain_timer(loop, [this] { check_drained(); }),
       m_refuse_timer(loop, [this] { m_calls.refuse_callers(); }),
       m_exit_timer(loop, [this] { m_loop.stop(); }), m_overload_timer(loop, [this] { check_overload(); })
 {
@@ -209,7 +209,7 @@
         if (is_new) {
             send_quarantine_snapshot(record);
             m_announcements.on_new_process(record.m_node);
-            m_departure_keeper.on_new_process(record.m_node);
+            m_departure_keeper.on_new_process(record.m_node, memory_for(record.m_node));
         }
     }
     m_calls.post(quota_member_changed{record.m_node, to_presence(record.m_state)});
@@ -349,7 +349,7 @@
 }
 
 /** Returns the nodes that hold the departures of the own target while the table does not respond. */
-std::vector<node_id> node::departure_keepers() const
+std::vector<node_id> node::departure_keepers(std::size_t count) const
 {
     std::vector<node_id> others;
     for (const member_record& record : m_control.members().members()) {
@@ -357,7 +357,25 @@
             others.push_back(record.m_node);
         }
     }
-    return nearest_nodes(m_settings.m_name, std::move(others), announcement_task::keeper_count);
+    return nearest_nodes(m_settings.m_name, std::move(others), count);
+}
+
+/** Returns how far the memory of this node reaches if it has to hold the departures of @p peer; none if not.
+ * Members that are dead count as well, as they may have held them instead. */
+std::optional<keeper_memory> node::memory_for(const node_id& peer) const
+{
+    std::vector<node_id> others{m_settings.m_name};
+    for (const member_record& record : m_control.members().members()) {
+        if (record.m_state != member_state::left && record.m_node != peer) {
+            others.push_back(record.m_node);
+        }
+    }
+    if (!is_among_nearest(m_settings.m_name, peer, others, announcement_task::keeper_count)) {
+        return std::nullopt;
+    }
+    const std::optional<store_era> era = m_control.store().current_era();
+    const instant known_since = era ? std::max(era->m_known_since, m_started_at) : m_started_at;
+    return keeper_memory{event_loop::now() - known_since, era ? std::optional(era->m_number) : std::nullopt};
 }
 
 /** Sends quarantine records to every live member. */
--- a/src/node/node_base.h
+++ b/src/node/node_base.h
@@ -58,6 +58,9 @@
         m_announcements.announce(announcement, std::move(acknowledge));
     }
 
+    /** Returns whether announcements of the target are used as they come. */
+    bool trusts_target() const { return m_announcements.trusts_target(); }
+
     /** Applies the changed settings that do not need a restart. */
     settings_change apply(const node_settings& new_settings);
 
@@ -84,7 +87,8 @@
     void broadcast_quarantine(const std::string& payload);
     void on_departure_message(const node_id& peer, const std::string& payload);
     void send_departure(const node_id& peer, const departure_message& message);
-    std::vector<node_id> departure_keepers() const;
+    std::vector<node_id> departure_keepers(std::size_t count) const;
+    std::optional<keeper_memory> memory_for(const node_id& peer) const;
     void raise(std::string_view event_name);
     void execute_action(const std::string& action);
     void check_drained();
@@ -108,6 +112,7 @@
         m_routes; ///< Nodes with targets that the entry may choose, by service.
     std::unordered_map<node_id, incarnation> m_incarnations; ///< Last known incarnation of each member.
     target_changed m_own_target;
+    instant m_started_at;
     instant m_stop_began_at{};
     bool m_isolated = false; ///< As the call task knows it.
     std::optional<instant> m_overload_since;
--- a/src/node/settings_func.h
+++ b/src/node/settings_func.h
@@ -50,7 +50,9 @@
 
     endpoint m_store; ///< The platform's store of rows and objects.
     configuration_source m_configuration = configuration_source::published; ///< Who writes the configuration.
-    std::optional<endpoint> m_registry;  ///< Where targets announce themselves in the platform's format.
+    std::optional<endpoint> m_registry; ///< Where targets announce themselves in the platform's format.
+    std::optional<endpoint> m_redirects_after;  ///< Targets are redirected to ports above this one,
+    std::optional<endpoint> m_redirects_before; ///< and below this one.
     std::optional<endpoint> m_readiness; ///< Where the platform asks whether this node accepts callers.
 
     std::string m_shared_key;     ///< Proves that a node belongs to the fleet.
--- a/src/node/table/settings.h
+++ b/src/node/table/settings.h
@@ -42,7 +42,7 @@
 inline constexpr std::uint64_t week_ms = 168 * hour_ms;       ///< Milliseconds.
 
 /** All settings. */
-inline constexpr std::array<setting_info, 29> settings_table{{
+inline constexpr std::array<setting_info, 31> settings_table{{
     {"node", "name", true, &node_settings::m_name, 1, max_name_bytes,
      "Name of the node, unique in the fleet"},
     {"node", "region", true, &node_settings::m_region, 1, max_name_bytes, "Region of the node"},
@@ -82,6 +82,11 @@
      "Who writes the configuration: published by waxwingctl, or written to the platform's store"},
     {"platform", "registry", false, &node_settings::m_registry, 0, 0,
      "Address at which targets announce themselves in the platform's format"},
+    {"platform", "redirects_after", false, &node_settings::m_redirects_after, 0, 0,
+     "With redirects_before: a target that may have left is asked to announce itself at a port between the "
+     "two"},
+    {"platform", "redirects_before", false, &node_settings::m_redirects_before, 0, 0,
+     "See redirects_after; the ports between the two must be free"},
     {"platform", "readiness", false, &node_settings::m_readiness, 0, 0,
      "Address at which the platform asks whether the node accepts callers"},
     {"security", "shared_key", true, &node_settings::m_shared_key, min_secret_bytes, max_text_bytes,
--- a/src/storage/storage.h
+++ b/src/storage/storage.h
@@ -48,6 +48,12 @@
     bool m_has_more = false;       ///< Whether more rows follow the last one.
 };
 
+/** An era of the store, which ends when the platform restores the store from a copy. */
+struct store_era {
+    std::uint64_t m_number = 0; ///< As the store names it.
+    instant m_known_since{};    ///< When an answer first named it.
+};
+
 /**
  * The interface to the platform's table and object store. Each operation calls its handler exactly once, and
  * never before the operation itself has returned. The error `unavailable` means that nothing took effect,
@@ -105,6 +111,9 @@
      * @p key or a check of it. @pre the row has a watch. */
     virtual void watch_contacts(const std::string& key, contact_handler on_contact) = 0;
 
+    /** Returns the present era of the store; none if no answer has named one. */
+    virtual std::optional<store_era> current_era() const = 0;
+
     /** Returns why the newest state of the head row that was read can't be used; none if it can. */
     virtual std::optional<std::string> head_refusal() const = 0;
 
--- a/src/waxwingd/main.cpp
+++ b/src/waxwingd/main.cpp
@@ -128,9 +128,12 @@
                                                std::function<void(bool)> acknowledge) {
         local_node.announce(announcement, std::move(acknowledge));
     };
+    handlers.m_trusts_target = [&local_node] { return local_node.trusts_target(); };
     handlers.m_is_ready = [&local_node] { return local_node.ready().m_ready; };
-    auto platform_gateway = gateway::open(
-        loop, {settings.m_registry, settings.m_readiness, settings.m_service}, std::move(handlers));
+    auto platform_gateway = gateway::open(loop,
+                                          {settings.m_registry, settings.m_readiness, settings.m_service,
+                                           settings.m_redirects_after, settings.m_redirects_before},
+                                          std::move(handlers));
     if (start_result.has_value() && platform_gateway.has_error()) {
         start_result = platform_gateway.error();
     }
--- a/test/announcement_task_test.cpp
+++ b/test/announcement_task_test.cpp
@@ -57,6 +57,7 @@
     void watch_confirmations(const std::string&, confirmation_handler) override {}
     void watch_contacts(const std::string&, contact_handler) override {}
     std::optional<std::string> head_refusal() const override { return std::nullopt; }
+    std::optional<store_era> current_era() const override { return m_era; }
     void put_object(const std::string&, std::string, handler<bool>) override {}
     void get_object(const std::string&, handler<std::optional<std::string>>) override {}
 
@@ -72,6 +73,7 @@
     std::map<std::string, row_version> m_versions;
     std::vector<std::function<void()>> m_operations; ///< Operations in progress.
     bool m_is_failing = false;                       ///< Whether operations fail.
+    std::optional<store_era> m_era;                  ///< Era that it names.
 };
 
 /** Encodes the row with the departure of the instance "i" that started at @p started_at. */
@@ -90,7 +92,7 @@
           m_task(loop, table, node_id{"n"}, 1,
                  {[this](const target_announcement& announcement) { take(announcement); },
                   [this](const target_departure& departure) { m_order.restore(departure); },
-                  [this] { return keeper_ids(); },
+                  [this](std::size_t count) { return keeper_ids(count); },
                   [this](const node_id& keeper, const departure_message& message) {
                       m_keepers[static_cast<std::size_t>(keeper.m_value.front() - 'a')]->on_offer(
                           node_id{"n"}, std::get<departure_offer>(message));
@@ -99,10 +101,10 @@
         m_task.start();
     }
 
-    std::vector<node_id> keeper_ids() const
+    std::vector<node_id> keeper_ids(std::size_t count) const
     {
         std::vector<node_id> ids;
-        for (std::size_t index = 0; index < m_keepers.size(); ++index) {
+        for (std::size_t index = 0; index < std::min(count, m_keepers.size()); ++index) {
             ids.push_back(node_id{std::string(1, static_cast<char>('a' + index))});
         }
         return ids;
@@ -119,6 +121,12 @@
         }
     }
 
+    /** Handles what a node tells that has been running for @p age and holds no departures of this node. */
+    void receive_memory(duration age = std::chrono::minutes(1))
+    {
+        receive("a", departure_reminder{{}, keeper_memory{age, std::nullopt}});
+    }
+
     void take(const target_announcement& announcement)
     {
         const wall_time now = event_loop::wall_now();
@@ -129,13 +137,14 @@
     }
 
     void announce(std::uint64_t started_at, std::uint64_t sequence,
-                  target_intent intent = target_intent::serve)
+                  target_intent intent = target_intent::serve, bool is_redirected = false)
     {
         target_announcement announcement;
         announcement.m_instance = "i";
         announcement.m_incarnation.m_value = started_at;
         announcement.m_sequence = sequence;
         announcement.m_intent = intent;
+        announcement.m_is_redirected = is_redirected;
         m_task.announce(announcement, [this](bool is_kept) { ++(is_kept ? m_acknowledged : m_refused); });
     }
 
@@ -195,6 +204,7 @@
         cr_assert(first.m_acknowledged == 2);
 
         process second(guarded.m_loop, table);
+        second.receive_memory();
         second.announce(100, 2);
         cr_assert(second.m_results.empty(), "what is stored is not known yet");
         table.respond();
@@ -219,6 +229,7 @@
     cr_assert(first.m_results.back() == announcement_result::stale);
 
     process second(guarded.m_loop, table);
+    second.receive_memory();
     table.respond();
     second.announce(100, 3);
     cr_assert(second.m_results.back() == announcement_result::stale);
@@ -257,7 +268,8 @@
         node.announce(200, ++sequence);
         return !node.m_results.empty();
     });
-    cr_assert(event_loop::now() - start >= announcement_streak::min_duration - std::chrono::milliseconds(50));
+    cr_assert(event_loop::now() - start >=
+              announcement_trust::max_announcement_delay - std::chrono::milliseconds(50));
     cr_assert(node.m_results == std::vector{announcement_result::new_life});
     cr_assert(node.m_refused == 0 && node.m_acknowledged == static_cast<int>(sequence - 1));
     table.m_is_failing = false;
@@ -315,7 +327,7 @@
     keepers.m_process = nullptr;
     process second(guarded.m_loop, table, keepers.both());
     keepers.m_process = &second;
-    keepers.m_first.on_new_process(node_id{"n"});
+    keepers.m_first.on_new_process(node_id{"n"}, std::nullopt);
     table.m_is_failing = false;
     table.respond();
     second.announce(100, 2);
@@ -350,6 +362,74 @@
     });
 }
 
+/** review/15: a departure that only other nodes held was lost when all processes ended. */
+Test(announcement_task, departed_target_was_used_after_all_processes_had_ended_in_an_outage)
+{
+    for (const target_intent intent : {target_intent::drain, target_intent::leave}) {
+        guarded_loop guarded;
+        memory_table table;
+        table.m_rows["departure/n"] = encode_departures({}); // Of an earlier process.
+        {
+            keeper_fixture keepers(guarded.m_loop, table);
+            process first(guarded.m_loop, table, keepers.both());
+            keepers.m_process = &first;
+            table.respond();
+            table.m_is_failing = true;
+            first.announce(100, 3, intent);
+            run_until(guarded.m_loop, [&] {
+                table.respond();
+                return first.m_acknowledged == 1;
+            });
+            table.m_operations.clear();
+        }
+        table.m_is_failing = false;
+        process second(guarded.m_loop, table);
+        table.respond();
+        second.announce(100, 1);
+        second.announce(100, 2);
+        cr_expect(second.m_results.empty() && !second.m_task.trusts_target());
+        second.announce(200, 1, target_intent::serve, true);
+        cr_expect(second.m_results == std::vector{announcement_result::new_life});
+    }
+}
+
+/** A single node that restarts uses its target as soon as nodes that were there before have told what they
+ * hold. */
+Test(announcement_task, announcements_wait_for_the_memory_of_other_nodes)
+{
+    guarded_loop guarded;
+    memory_table table;
+    table.m_rows["departure/n"] = encode_departures({});
+    process node(guarded.m_loop, table);
+    table.respond();
+    node.announce(100, 4);
+    cr_assert(node.m_results.empty());
+    node.receive_memory(std::chrono::seconds(5));
+    cr_assert(node.m_results.empty());
+    node.receive_memory();
+    cr_assert(node.m_results == std::vector{announcement_result::new_life});
+}
+
+/** The office of a keeper goes to who can do it: the table may turn away those that were asked first. */
+Test(announcement_task, departure_is_offered_to_further_nodes_while_none_can_write_it)
+{
+    guarded_loop guarded;
+    memory_table table;
+    memory_table refusing_table;
+    refusing_table.m_is_failing = true;
+    const departure_keeper::sender ignore = [](const node_id&, const departure_message&) {};
+    departure_keeper refused(guarded.m_loop, refusing_table, 3, ignore);
+    departure_keeper served(guarded.m_loop, table, 4, ignore);
+    process node(guarded.m_loop, refusing_table, {&refused, &refused, &refused, &refused, &refused, &served});
+    refusing_table.respond();
+    node.announce(100, 0, target_intent::leave);
+    run_until(guarded.m_loop, [&] {
+        refusing_table.respond();
+        table.respond();
+        return table.m_rows.contains("departure/n");
+    });
+}
+
 Test(announcement_task, departure_is_not_acknowledged_while_one_of_several_nodes_holds_it)
 {
     guarded_loop guarded;
--- a/test/departure_test.cpp
+++ b/test/departure_test.cpp
@@ -72,10 +72,11 @@
     cr_assert(decode_departures(encode_departures(list)).value() == list);
     cr_assert(decode_departures("[\"a\",100]").value() == make_list({{"a", {100}}}), "the earlier format");
     for (const char* value :
-         {"", "{}", "[]", "[\"a\"]", "[1,2]", "[\"a\",-1]", "[\"a\",1,2]", "[\"a\",1.5]", "[[\"a\",1,false]]",
+         {"", "{}", "[\"a\"]", "[1,2]", "[\"a\",-1]", "[\"a\",1,2]", "[\"a\",1.5]", "[[\"a\",1,false]]",
           "[[\"a\",1,true,2]]", "[[]]", "[[\"a\",1],2]", "[[\"a\",1],[\"b\"]]"}) {
         cr_assert(decode_departures(value).has_error(), "%s", value);
     }
+    cr_assert(decode_departures("[]").value().items().empty(), "the row of a node that has started");
     cr_assert(decode_departures("[\"" + std::string(20000, 'a') + "\",1]").has_error());
 }
 
@@ -88,8 +89,14 @@
     const auto receipt = decode_departure_message(encode_departure_message(departure_receipt{8, true}));
     cr_assert(std::get<departure_receipt>(receipt.value()).m_generation == 8);
     cr_assert(std::get<departure_receipt>(receipt.value()).m_is_stored);
-    const auto reminder = decode_departure_message(encode_departure_message(departure_reminder{list}));
+    const auto reminder = decode_departure_message(encode_departure_message(departure_reminder{list, {}}));
     cr_assert(std::get<departure_reminder>(reminder.value()).m_departures == list);
+    for (const std::optional<std::uint64_t> era : {std::optional<std::uint64_t>(3), {}}) {
+        const departure_reminder told{{}, keeper_memory{std::chrono::seconds(40), era}};
+        const auto decoded = decode_departure_message(encode_departure_message(told));
+        const std::optional<keeper_memory>& memory = std::get<departure_reminder>(decoded.value()).m_memory;
+        cr_assert(memory && memory->m_age == std::chrono::seconds(40) && memory->m_era == era);
+    }
     cr_assert(decode_departure_message(encode_departure_message(departure_offer{})).has_error(),
               "no departure");
     cr_assert(rc::check([&](const std::string& bytes, std::uint16_t place, char value) {
@@ -116,3 +123,100 @@
     cr_assert(!streak.extend(at(3700), make_announcement(200, 3)), "late ones may arrive together");
     cr_assert(streak.extend(at(6000), make_announcement(200, 4)));
 }
+
+namespace {
+
+/** What a node tells that has been running for @p age in the era @p era of the store. */
+keeper_memory memory_of(std::chrono::seconds age, std::uint64_t era)
+{
+    return {age, era};
+}
+
+const instant trust_start = instant{} + std::chrono::hours(1);
+const wall_time wall_start{std::chrono::milliseconds(1'000'000)};
+
+/** Returns whether @p trust uses the target that sends @p count announcements, one each 1.5 s from @p
+ * first_at after the start on. */
+bool is_used_after(announcement_trust& trust, std::chrono::milliseconds first_at, int count)
+{
+    bool is_used = false;
+    for (int number = 0; number < count; ++number) {
+        is_used =
+            trust.take(trust_start + first_at + number * std::chrono::milliseconds(1500),
+                       make_announcement(100, static_cast<std::uint64_t>(first_at.count() / 100 + number)));
+    }
+    return is_used;
+}
+
+} // namespace
+
+/** review/15: all processes had ended, so that nobody knew of the departure, and the table could be read. */
+Test(announcement_trust, late_announcements_passed_for_a_running_target_after_all_processes_had_ended)
+{
+    for (const bool is_table_silent : {false, true}) {
+        announcement_trust trust(trust_start, wall_start);
+        if (!is_table_silent) {
+            trust.on_first_read(true, 1);
+        }
+        cr_expect(!is_used_after(trust, std::chrono::milliseconds(3600), 1), "a late one");
+        announcement_trust other(trust_start, wall_start);
+        if (!is_table_silent) {
+            other.on_first_read(true, 1);
+        }
+        cr_expect(!is_used_after(other, std::chrono::milliseconds(300), 6), "six that are all late");
+        cr_expect(is_used_after(other, std::chrono::milliseconds(10300), 1), "it still goes on");
+    }
+}
+
+Test(announcement_trust, a_redirected_announcement_proves_that_the_target_runs)
+{
+    announcement_trust trust(trust_start, wall_start);
+    trust.on_first_read(true, 1);
+    target_announcement announcement = make_announcement(100, 5);
+    cr_assert(!trust.take(trust_start + std::chrono::seconds(1), announcement));
+    announcement.m_is_redirected = true;
+    announcement.m_sequence = 6;
+    cr_assert(trust.take(trust_start + std::chrono::seconds(2), announcement) && trust.is_established());
+}
+
+/** All machines lose power: their targets start anew together with their nodes. */
+Test(announcement_trust, a_target_that_started_with_the_process_has_not_left)
+{
+    announcement_trust trust(trust_start, wall_start);
+    trust.on_first_read(true, 1);
+    cr_assert(!trust.take(trust_start, make_announcement(999'000, 1)));
+    cr_assert(trust.take(trust_start, make_announcement(999'800, 1)));
+}
+
+Test(announcement_trust, a_new_node_has_no_departures)
+{
+    announcement_trust trust(trust_start, wall_start);
+    trust.on_first_read(false, 1);
+    cr_assert(trust.is_established());
+}
+
+/** All nodes that are asked hold what the table lacks. */
+Test(announcement_trust, a_node_that_was_running_before_establishes_trust)
+{
+    const instant now = trust_start + std::chrono::seconds(1);
+    announcement_trust trust(trust_start, wall_start);
+    trust.on_keeper_memory(now, memory_of(std::chrono::seconds(12), 2));
+    cr_expect(!trust.is_established(), "the row was not read");
+    trust.on_first_read(true, 2);
+    cr_expect(trust.is_established());
+    announcement_trust other(trust_start, wall_start);
+    other.on_first_read(true, 2);
+    other.on_keeper_memory(now, memory_of(std::chrono::seconds(10), 2));
+    cr_expect(!other.is_established(), "it may have ended together with this node");
+}
+
+/** review/14: the table had lost the departure in a restoration that no node had noticed, and nobody held it.
+ */
+Test(announcement_trust, nodes_that_know_another_era_of_the_store_establish_no_trust)
+{
+    announcement_trust trust(trust_start, wall_start);
+    trust.on_first_read(true, 2);
+    const instant now = trust_start + std::chrono::seconds(1);
+    trust.on_keeper_memory(now, memory_of(std::chrono::seconds(60), 1));
+    cr_assert(!trust.is_established());
+}
