Fix: the first process of a node marks its row at once

The next process then found no row and believed the late announcement.

Change: the row is written as soon as it has been read that there is none.

--- a/src/node/announcement_task.cpp
+++ b/src/node/announcement_task.cpp
@@ -151,7 +151,7 @@
         m_writer.set_row(row.value());
     }
     if (!row.value()) {
-        m_mark_timer.set(retry_delay() + retry_interval);
+        mark_row();
     }
     if (row.value()) {
         const result<departure_list> departures = decode_departures(row.value()->m_value);
@@ -180,7 +180,7 @@
     transaction.m_writes.push_back({m_key, encode_departures({})});
     m_storage.commit(std::move(transaction), [this](const result<table_commit>& outcome) {
         if (outcome.has_error()) {
-            m_mark_timer.set(retry_delay() + retry_interval);
+            m_mark_timer.set(retry_delay());
             return;
         }
         m_writer.rewrite(); // The version of the row that it knows is no longer the last one.
