--- a/src/member/announcement_trust_base.h
+++ b/src/member/announcement_trust_base.h
@@ -24,7 +24,7 @@
     /** Longest delay of an announcement, from its being sent to its arrival. */
     static constexpr duration max_announcement_delay = std::chrono::seconds(10);
 
-    /** A target that started this long before the process cannot have left with an earlier one. */
+    /** A target that started at most this long before the process cannot have left with an earlier one. */
     static constexpr duration min_life = std::chrono::milliseconds(500);
 
     /** @param started_at when this process started. @param started_at_wall the same by the clock of the
